Lay out the workspace and the shared model

Cause: nothing stands yet; every crate needs the same ids, configuration and messages. Conclusion: builds; no behaviour yet, nothing measured.

--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,11 @@
+//! Ids, units, configuration and messages shared by every part of sardinepaddle.
+
+pub mod config;
+pub mod ids;
+pub mod load;
+pub mod map;
+pub mod outcome;
+pub mod peer;
+pub mod request;
+pub mod store;
+pub mod time;
--- /dev/null
+++ b/crates/model/src/map.rs
@@ -0,0 +1,6 @@
+//! The hash map alias used throughout the workspace.
+
+use std::collections;
+
+/// A hash map with a fast hasher and a fixed seed, so that iteration replays.
+pub type HashMap<K, V> = collections::HashMap<K, V, rustc_hash::FxBuildHasher>;
--- /dev/null
+++ b/crates/model/src/peer.rs
@@ -0,0 +1,222 @@
+//! Messages between daemons.
+
+use std::net;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config;
+use crate::ids;
+use crate::outcome;
+use crate::request;
+
+/// A daemon as others know it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostEntry {
+    /// The host's name.
+    pub host: ids::HostId,
+    /// Data centre that it stands in.
+    pub data_centre: ids::CentreId,
+    /// Address for messages from peers.
+    pub peer_address: net::SocketAddr,
+    /// Address for operators.
+    pub admin_address: net::SocketAddr,
+    /// Whether the platform says that the host is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Health of a member as one daemon sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Missed a probe; dead unless it answers soon.
+    Suspect,
+    /// Shutting down; takes no roles.
+    Leaving,
+    /// Gone.
+    Dead,
+}
+
+/// News of one member.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberUpdate {
+    /// The member.
+    pub entry: HostEntry,
+    /// Its life.
+    pub incarnation: ids::NodeIncarnation,
+    /// Number of the news within that life; the member itself raises it to refute a suspicion.
+    pub revision: u64,
+    /// Its health.
+    pub state: MemberState,
+}
+
+/// A message with its sender.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerEnvelope {
+    /// The sender's host.
+    pub from: ids::HostId,
+    /// The sender's life.
+    pub incarnation: ids::NodeIncarnation,
+    /// The sender's address for messages, so that strangers can be answered.
+    pub reply_to: net::SocketAddr,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// A message between daemons. Any of them may be lost, late, doubled or out of order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerMessage {
+    /// Asks for a [`PeerMessage::ProbeReply`].
+    Probe {
+        /// Matches the reply.
+        number: u64,
+        /// The sender's configuration version.
+        version: config::ConfigVersion,
+        /// News of members.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Answers a [`PeerMessage::Probe`].
+    ProbeReply {
+        /// Number of the probe.
+        number: u64,
+        /// The sender's configuration version.
+        version: config::ConfigVersion,
+        /// News of members.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Asks the receiver to probe `target` on the sender's behalf.
+    ProbeFor {
+        /// Matches the reply.
+        number: u64,
+        /// Member to probe.
+        target: HostEntry,
+    },
+    /// Asks for the receiver's configuration if it is newer than `version`.
+    ConfigAsk {
+        /// The sender's version.
+        version: config::ConfigVersion,
+    },
+    /// A configuration.
+    ConfigPush {
+        /// Its version.
+        version: config::ConfigVersion,
+        /// The configuration.
+        config: sync::Arc<config::FleetConfig>,
+    },
+    /// Asks the keeper of an endpoint for the right to send one attempt.
+    GrantAsk {
+        /// The endpoint.
+        endpoint: ids::EndpointId,
+        /// The attempt to be sent.
+        attempt: ids::AttemptId,
+        /// Size class of its request.
+        class: request::SizeClass,
+        /// Engine memory that it may come to hold, in tokens.
+        tokens: u64,
+    },
+    /// Answers a [`PeerMessage::GrantAsk`].
+    GrantReply {
+        /// The endpoint.
+        endpoint: ids::EndpointId,
+        /// The attempt.
+        attempt: ids::AttemptId,
+        /// Whether it may be sent.
+        verdict: GrantVerdict,
+        /// Free slots left for the class of the request.
+        free_slots: u32,
+        /// Free memory left for the class of the request, in tokens.
+        free_tokens: u64,
+    },
+    /// Returns a grant.
+    GrantReturn {
+        /// The endpoint.
+        endpoint: ids::EndpointId,
+        /// The attempt.
+        attempt: ids::AttemptId,
+        /// How it was used.
+        usage: GrantUsage,
+    },
+    /// Asks the owner of a claim shard to record a claim.
+    ClaimAsk {
+        /// The key claimed.
+        key: ids::ClaimKey,
+        /// The attempt on whose behalf.
+        request: ids::RequestId,
+    },
+    /// Answers a [`PeerMessage::ClaimAsk`].
+    ClaimReply {
+        /// The key.
+        key: ids::ClaimKey,
+        /// The request that asked.
+        request: ids::RequestId,
+        /// The answer.
+        verdict: ClaimVerdict,
+    },
+    /// Reports how a claimed call ended.
+    ClaimSettle {
+        /// The key.
+        key: ids::ClaimKey,
+        /// The request that holds the claim.
+        request: ids::RequestId,
+        /// How it ended.
+        settlement: ClaimSettlement,
+    },
+}
+
+/// Whether an attempt may be sent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GrantVerdict {
+    /// It may.
+    Granted,
+    /// The endpoint has no room for it now.
+    Full,
+    /// The endpoint takes no new work, or the receiver is not its keeper.
+    NotKeeper,
+}
+
+/// How a grant was used.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GrantUsage {
+    /// The attempt finished.
+    Finished,
+    /// The endpoint refused it or broke off.
+    Failed,
+    /// It was not sent.
+    Unused,
+}
+
+/// Whether a claimed call may be sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimVerdict {
+    /// The claim is recorded for the request that asked: it may send.
+    Recorded,
+    /// Another request holds the claim and has not settled it.
+    Taken,
+    /// The call ran and was answered so.
+    Answered(outcome::RecordedAnswer),
+    /// The call may have run.
+    Unknown,
+    /// The claim cannot be recorded now.
+    Unavailable,
+    /// The receiver does not own the shard.
+    NotOwner,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimSettlement {
+    /// The endpoint answered.
+    Answered(outcome::RecordedAnswer),
+    /// No byte was sent, and the holder will not send any more.
+    NotSent,
+    /// Bytes may have been sent and no answer came.
+    Unknown,
+}
