--- /dev/null
+++ b/crates/daemon/src/attempts.rs
@@ -0,0 +1,102 @@
+//! Carries out attempts on endpoints.
+
+use std::sync;
+
+use engine::client;
+use engine::plain;
+use engine::wire;
+use model::ids;
+use node::action;
+use node::event;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::caller;
+use crate::driver;
+
+/// Signals that wait for the driver.
+const SIGNAL_QUEUE: usize = 64;
+
+/// An attempt to be carried out.
+pub(crate) struct AttemptTask {
+    pub order: action::AttemptOrder,
+    pub not_after: time::Instant,
+    pub body: sync::Arc<caller::RequestBody>,
+    pub inputs: mpsc::Sender<driver::DriverInput>,
+}
+
+/// Runs one attempt and tells the driver of everything that comes back.
+pub(crate) async fn run(task: AttemptTask) {
+    match &*task.body {
+        caller::RequestBody::Completion(request) => complete(&task, request).await,
+        caller::RequestBody::Plain(call) => call_plain(&task, call).await,
+    }
+}
+
+async fn complete(task: &AttemptTask, request: &wire::CompletionRequest) {
+    let attempt = task.order.attempt;
+    let (signals, received) = mpsc::channel(SIGNAL_QUEUE);
+    let order = client::CompletionOrder {
+        address: task.order.address,
+        not_after: task.not_after,
+        request: wire::EngineRequest {
+            model: request.model.as_str().into(),
+            prompt: std::borrow::Cow::Borrowed(&request.prompt),
+            max_tokens: request.max_tokens,
+            stream: true,
+            attempt,
+            resume_offset: task.order.resume_offset,
+            priority: task.order.priority,
+        },
+    };
+    let inputs = task.inputs.clone();
+    let (end, ()) = tokio::join!(
+        client::complete(order, signals),
+        pass_signals(attempt, received, inputs)
+    );
+    let event = event::NodeEvent::AttemptEnded { attempt, end };
+    send(&task.inputs, driver::DriverInput::event(event)).await;
+}
+
+async fn pass_signals(
+    attempt: ids::AttemptId,
+    mut received: mpsc::Receiver<client::AttemptSignal>,
+    inputs: mpsc::Sender<driver::DriverInput>,
+) {
+    while let Some(signal) = received.recv().await {
+        let input = match signal {
+            client::AttemptSignal::Progress => {
+                driver::DriverInput::event(event::NodeEvent::AttemptProgressed { attempt })
+            }
+            client::AttemptSignal::Piece(piece) => {
+                let event = event::NodeEvent::ChunkReceived {
+                    attempt,
+                    named: piece.named,
+                    offset: piece.offset,
+                };
+                driver::DriverInput::with_payload(event, caller::CallerPart::Text(piece.text))
+            }
+        };
+        send(&inputs, input).await;
+    }
+}
+
+async fn call_plain(task: &AttemptTask, call: &plain::PlainCall) {
+    let result = plain::call(task.order.address, task.not_after, call).await;
+    let event = event::NodeEvent::AttemptEnded {
+        attempt: task.order.attempt,
+        end: result.end,
+    };
+    let input = match result.answer {
+        Some(answer) => {
+            driver::DriverInput::with_payload(event, caller::CallerPart::Answer(answer))
+        }
+        None => driver::DriverInput::event(event),
+    };
+    send(&task.inputs, input).await;
+}
+
+async fn send(inputs: &mpsc::Sender<driver::DriverInput>, input: driver::DriverInput) {
+    // The driver outlives its attempts except at the end of the process.
+    let _ = inputs.send(input).await;
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,36 @@
+//! The monotonic clock.
+
+use std::time::Duration;
+
+use model::time;
+
+/// Reads the monotonic clock in milliseconds since its own start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NodeClock {
+    origin: tokio::time::Instant,
+}
+
+impl NodeClock {
+    pub fn start() -> Self {
+        Self {
+            origin: tokio::time::Instant::now(),
+        }
+    }
+
+    pub fn now(&self) -> time::MonoTime {
+        let millis = self.origin.elapsed().as_millis();
+        time::MonoTime::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
+    pub fn instant(&self, at: time::MonoTime) -> tokio::time::Instant {
+        self.origin + Duration::from_millis(at.as_millis())
+    }
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/reply.rs
@@ -0,0 +1,189 @@
+//! Replies to callers.
+
+use std::time::Duration;
+
+use axum::response::IntoResponse;
+use model::ids;
+use model::outcome;
+use serde::Serialize;
+
+use crate::shared;
+
+/// Header that carries the request id.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Body of every error.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ErrorBody {
+    pub error: ErrorDetail,
+}
+
+/// What went wrong.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ErrorDetail {
+    /// `not_run`, `failed` or `unknown`.
+    pub outcome: &'static str,
+    /// Stable name of the reason.
+    pub reason: String,
+    /// The same for people.
+    pub message: String,
+    /// When to come back, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    pub request_id: String,
+}
+
+/// A refusal decided before the state machine saw the request.
+#[derive(Clone, Debug)]
+pub(crate) struct FrontRefusal {
+    pub status: http::StatusCode,
+    pub reason: &'static str,
+    pub message: String,
+    pub retry_after: Option<Duration>,
+}
+
+impl FrontRefusal {
+    pub fn new(status: http::StatusCode, reason: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    pub fn bad_request(reason: &'static str, message: impl Into<String>) -> Self {
+        Self::new(http::StatusCode::BAD_REQUEST, reason, message)
+    }
+
+    pub fn retry_after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    pub fn respond(self, id: ids::RequestId) -> axum::response::Response {
+        let detail = ErrorDetail {
+            outcome: "not_run",
+            reason: self.reason.to_owned(),
+            message: self.message,
+            retry_after_ms: self.retry_after.map(millis),
+            request_id: id.to_string(),
+        };
+        respond(self.status, detail, self.retry_after)
+    }
+}
+
+/// The error of an outcome that is not an answer.
+pub(crate) fn detail(id: ids::RequestId, outcome: &outcome::RequestOutcome) -> ErrorDetail {
+    let (reason, retry_after) = match outcome {
+        outcome::RequestOutcome::NotRun {
+            reason,
+            retry_after,
+        } => (reason.to_string(), *retry_after),
+        outcome::RequestOutcome::Failed {
+            reason,
+            retry_after,
+        }
+        | outcome::RequestOutcome::Unknown {
+            reason,
+            retry_after,
+        } => (reason.to_string(), *retry_after),
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => {
+            ("answered".to_owned(), None)
+        }
+    };
+    ErrorDetail {
+        outcome: shared::outcome_name(outcome),
+        message: describe(outcome).to_owned(),
+        reason,
+        retry_after_ms: retry_after.map(millis),
+        request_id: id.to_string(),
+    }
+}
+
+/// An HTTP error for an outcome that is not an answer.
+pub(crate) fn error(
+    id: ids::RequestId,
+    outcome: &outcome::RequestOutcome,
+) -> axum::response::Response {
+    let retry_after = match outcome {
+        outcome::RequestOutcome::NotRun { retry_after, .. }
+        | outcome::RequestOutcome::Failed { retry_after, .. }
+        | outcome::RequestOutcome::Unknown { retry_after, .. } => *retry_after,
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => None,
+    };
+    respond(status(outcome), detail(id, outcome), retry_after)
+}
+
+fn respond(
+    status: http::StatusCode,
+    detail: ErrorDetail,
+    retry_after: Option<Duration>,
+) -> axum::response::Response {
+    let id = detail.request_id.clone();
+    let mut response = (status, axum::Json(ErrorBody { error: detail })).into_response();
+    set_request_id(&mut response, &id);
+    if let Some(span) = retry_after {
+        let seconds = span.as_millis().div_ceil(1_000);
+        if let Ok(value) = http::HeaderValue::from_str(&seconds.to_string()) {
+            response
+                .headers_mut()
+                .insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Adds the request id to a response.
+pub(crate) fn set_request_id(response: &mut axum::response::Response, id: &str) {
+    if let Ok(value) = http::HeaderValue::from_str(id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn status(outcome: &outcome::RequestOutcome) -> http::StatusCode {
+    match outcome {
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => {
+            http::StatusCode::OK
+        }
+        outcome::RequestOutcome::NotRun { reason, .. } => refusal_status(*reason),
+        outcome::RequestOutcome::Failed { reason, .. } => match reason {
+            outcome::FailureReason::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
+            _ => http::StatusCode::BAD_GATEWAY,
+        },
+        outcome::RequestOutcome::Unknown { reason, .. } => match reason {
+            outcome::FailureReason::EarlierCallRunning
+            | outcome::FailureReason::EarlierCallUnknown => http::StatusCode::CONFLICT,
+            outcome::FailureReason::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
+            _ => http::StatusCode::BAD_GATEWAY,
+        },
+    }
+}
+
+fn refusal_status(reason: outcome::RefusalReason) -> http::StatusCode {
+    match reason {
+        outcome::RefusalReason::UnknownService => http::StatusCode::NOT_FOUND,
+        outcome::RefusalReason::UnknownCustomer => http::StatusCode::FORBIDDEN,
+        outcome::RefusalReason::PromptTooLong => http::StatusCode::PAYLOAD_TOO_LARGE,
+        outcome::RefusalReason::DeadlineTooClose => http::StatusCode::REQUEST_TIMEOUT,
+        outcome::RefusalReason::CustomerLimit => http::StatusCode::TOO_MANY_REQUESTS,
+        _ => http::StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn describe(outcome: &outcome::RequestOutcome) -> &'static str {
+    match outcome {
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => "answered",
+        outcome::RequestOutcome::NotRun { .. } => "the request was not run",
+        outcome::RequestOutcome::Failed { .. } => {
+            "the request ran and its answer was not delivered in full"
+        }
+        outcome::RequestOutcome::Unknown { .. } => {
+            "the request may or may not have run; do not assume either"
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,339 @@
+//! Starts a daemon and ends it in good order.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use model::map;
+use node::event;
+use node::machine;
+use node::settings as node_settings;
+use platform::client;
+use settings::daemon;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task;
+
+use crate::admin;
+use crate::args;
+use crate::clock;
+use crate::driver;
+use crate::front;
+use crate::logs;
+use crate::metrics;
+use crate::shared;
+
+/// Inputs that wait for the driver.
+const INPUT_QUEUE: usize = 16_384;
+/// Messages of peers that wait for the driver.
+const PEER_QUEUE: usize = 1_024;
+/// Largest request head read by the HTTP library, in bytes. Smaller heads that are too large
+/// by the settings get a typed refusal.
+const HEAD_BUFFER_BYTES: usize = 256 << 10;
+/// Time for open connections to finish after the last request.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a daemon could not run.
+#[derive(Debug, miette::Diagnostic, thiserror::Error)]
+pub enum RunError {
+    /// The settings are no good.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::load::SettingsError),
+    /// The log could not be set up.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Log(#[from] logs::LogError),
+    /// The runtime could not be started.
+    #[error("cannot start the runtime")]
+    Runtime(#[source] std::io::Error),
+    /// An address could not be bound.
+    #[error("cannot listen on {address}")]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// The cause.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The port for peers could not be opened.
+    #[error("cannot open the port for peers")]
+    Peers(#[from] peer::server::ServerError),
+    /// Metrics could not be set up.
+    #[error("cannot set metrics up: {0}")]
+    Metrics(String),
+    /// Signals could not be caught.
+    #[error("cannot catch signals")]
+    Signal(#[source] std::io::Error),
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, RunError>;
+
+/// Runs a daemon until it is told to end.
+pub fn run(args: &args::DaemonArgs) -> Result<()> {
+    let settings = settings::load::read(&args.settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?;
+    runtime.block_on(async {
+        let mut terminate =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+                .map_err(RunError::Signal)?;
+        let mut interrupt =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::interrupt())
+                .map_err(RunError::Signal)?;
+        let handle = start(settings).await?;
+        let stop = handle.stopper();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            stop.stop().await;
+        });
+        handle.wait().await;
+        Ok(())
+    })
+}
+
+/// A daemon that runs.
+#[derive(Debug)]
+pub struct DaemonHandle {
+    inputs: mpsc::Sender<driver::DriverInput>,
+    done: task::JoinHandle<()>,
+}
+
+/// Asks a daemon to end.
+#[derive(Clone, Debug)]
+pub struct DaemonStopper {
+    inputs: mpsc::Sender<driver::DriverInput>,
+}
+
+impl DaemonStopper {
+    /// Asks the daemon to finish what it has and end.
+    pub async fn stop(&self) {
+        let input = driver::DriverInput::event(event::NodeEvent::ShutdownAsked);
+        // A daemon that has ended needs no asking.
+        let _ = self.inputs.send(input).await;
+    }
+}
+
+impl DaemonHandle {
+    /// Something by which the daemon can be asked to end.
+    pub fn stopper(&self) -> DaemonStopper {
+        DaemonStopper {
+            inputs: self.inputs.clone(),
+        }
+    }
+
+    /// Waits until the daemon has ended.
+    pub async fn wait(self) {
+        // A panic of the daemon's task has been reported already.
+        let _ = self.done.await;
+    }
+}
+
+/// Starts a daemon in the current runtime.
+pub async fn start(settings: daemon::DaemonSettings) -> Result<DaemonHandle> {
+    logs::init(&settings.log)?;
+    let shared = sync::Arc::new(shared::SharedState::default());
+    let traffic = sync::Arc::new(peer::traffic::PeerTraffic::default());
+    let metrics = metrics::NodeMetrics::new(&shared, &traffic);
+    let metrics = metrics.map_err(|error| RunError::Metrics(error.to_string()))?;
+    let (inputs, received) = mpsc::channel(INPUT_QUEUE);
+    let (exit, exited) = oneshot::channel();
+    let callers = bind(settings.listen.callers).await?;
+    let operators = bind(settings.listen.admin).await?;
+    let peer_inbox = pass_peers(inputs.clone());
+    let peers = peer::server::serve(settings.listen.peers, peer_inbox, traffic.clone()).await?;
+
+    let front = front::router(front::FrontState {
+        shared: shared.clone(),
+        limits: sync::Arc::new(settings.limits.clone()),
+        inputs: inputs.clone(),
+        timings: metrics.timings.clone(),
+    });
+    let admin = admin::router(admin::AdminState {
+        shared: shared.clone(),
+        metrics: sync::Arc::new(metrics),
+        inputs: inputs.clone(),
+    });
+    let driver = driver::NodeDriver::new(driver_parts(&settings, &shared, traffic, &inputs, exit));
+    let driving = tokio::spawn(driver.run(received));
+    let (close, closed) = tokio::sync::watch::channel(false);
+    let limits = settings.limits.clone();
+    let fronting = tokio::spawn(accept(callers, front, limits, closed));
+    let operating = tokio::spawn(async move {
+        // The listener fails only if the process is out of file descriptors for good.
+        let _ = axum::serve(operators, admin).await;
+    });
+    log::info!(target: "sardinepaddle", "daemon: [{}] listens on {}", settings.host, settings.listen.callers);
+    let done = tokio::spawn(async move {
+        // The driver drops its end only when it is over too.
+        let _ = exited.await;
+        // The front has gone only if its task failed.
+        let _ = close.send(true);
+        let _ = fronting.await;
+        driving.abort();
+        operating.abort();
+        // A server that has stopped already is fine.
+        let _ = peers.stop();
+        log::info!(target: "sardinepaddle", "daemon: [{}] ended", settings.host);
+    });
+    Ok(DaemonHandle { inputs, done })
+}
+
+fn driver_parts(
+    settings: &daemon::DaemonSettings,
+    shared: &sync::Arc<shared::SharedState>,
+    traffic: sync::Arc<peer::traffic::PeerTraffic>,
+    inputs: &mpsc::Sender<driver::DriverInput>,
+    exit: oneshot::Sender<()>,
+) -> driver::DriverParts {
+    let clock = clock::NodeClock::start();
+    let wall_ms = clock::wall_ms();
+    let incarnation = machine::new_incarnation(&settings.host, wall_ms);
+    shared
+        .ids
+        .incarnation
+        .store(incarnation.0, atomic::Ordering::Relaxed);
+    let builder = node_settings::NodeBuilder::new(
+        settings.host.clone(),
+        settings.data_centre.clone(),
+        settings
+            .listen
+            .advertised_peers
+            .unwrap_or(settings.listen.peers),
+    );
+    let node = builder
+        .admin_address(settings.listen.admin)
+        .incarnation(incarnation)
+        .seed(settings.seed.unwrap_or_else(rand::random))
+        .wall_origin_ms(wall_ms)
+        .max_in_flight(settings.limits.in_flight)
+        .build();
+    driver::DriverParts {
+        machine: machine::NodeMachine::new(node, clock.now()),
+        clock,
+        host: settings.host.clone(),
+        platform: client::PlatformClient::new(
+            settings.platform.object_api,
+            settings.platform.host_list,
+        ),
+        links: peer::links::PeerLinks::new(traffic),
+        shared: shared.clone(),
+        inputs: inputs.clone(),
+        exit,
+    }
+}
+
+async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener> {
+    let listener = tokio::net::TcpListener::bind(address).await;
+    listener.map_err(|source| RunError::Listen { address, source })
+}
+
+fn pass_peers(
+    inputs: mpsc::Sender<driver::DriverInput>,
+) -> mpsc::Sender<model::peer::PeerEnvelope> {
+    let (sender, mut envelopes) = mpsc::channel(PEER_QUEUE);
+    tokio::spawn(async move {
+        while let Some(envelope) = envelopes.recv().await {
+            let input = driver::DriverInput::event(event::NodeEvent::PeerReceived { envelope });
+            if inputs.send(input).await.is_err() {
+                return;
+            }
+        }
+    });
+    sender
+}
+
+/// Connections open, by the caller's address.
+type ConnectionCounts = sync::Arc<sync::Mutex<map::HashMap<net::IpAddr, usize>>>;
+
+/// Counts one connection for as long as it lives.
+struct ConnectionLease {
+    counts: ConnectionCounts,
+    address: net::IpAddr,
+}
+
+impl ConnectionLease {
+    fn take(
+        counts: &ConnectionCounts,
+        address: net::IpAddr,
+        limits: &daemon::LimitSettings,
+    ) -> Option<Self> {
+        let mut table = counts.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let total = table.values().sum::<usize>();
+        let own = table.get(&address).copied().unwrap_or(0);
+        if total >= limits.connections || own >= limits.connections_per_host {
+            return None;
+        }
+        table.insert(address, own + 1);
+        Some(Self {
+            counts: counts.clone(),
+            address,
+        })
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        let mut table = self
+            .counts
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(count) = table.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                table.remove(&self.address);
+            }
+        }
+    }
+}
+
+/// Takes callers' connections until told to close, then lets the open ones finish.
+async fn accept(
+    listener: tokio::net::TcpListener,
+    router: axum::Router,
+    limits: daemon::LimitSettings,
+    mut closed: tokio::sync::watch::Receiver<bool>,
+) {
+    let counts = ConnectionCounts::default();
+    let graceful = hyper_util::server::graceful::GracefulShutdown::new();
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(hyper_util::rt::TokioTimer::new())
+        .header_read_timeout(limits.header_read())
+        .max_buf_size(HEAD_BUFFER_BYTES);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.changed() => break,
+        };
+        let Ok((stream, address)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Some(lease) = ConnectionLease::take(&counts, address.ip(), &limits) else {
+            continue;
+        };
+        // Only latency suffers if the option cannot be set.
+        let _ = stream.set_nodelay(true);
+        let service = hyper_util::service::TowerToHyperService::new(router.clone());
+        let connection = builder.serve_connection(hyper_util::rt::TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection concerns only its caller, who is told by its guard.
+            let _ = connection.await;
+            drop(lease);
+        });
+    }
+    drop(listener);
+    // What is still open after this has no request in flight.
+    let _ = tokio::time::timeout(CLOSE_LIMIT, graceful.shutdown()).await;
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,87 @@
+//! What the ports read while the driver runs.
+
+use std::sync;
+use std::sync::atomic;
+
+use model::config;
+use model::ids;
+use model::map;
+use model::outcome;
+use model::peer;
+use node::machine;
+use node::stats;
+use serde::Serialize;
+
+/// A copy of the state machine's public state, renewed by the driver.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct NodeStatus {
+    pub host: String,
+    pub incarnation: ids::NodeIncarnation,
+    pub ready: bool,
+    pub version: config::ConfigVersion,
+    pub in_flight: usize,
+    pub members: Vec<peer::MemberUpdate>,
+    pub kept: Vec<machine::KeptEndpoint>,
+    pub stats: stats::NodeStats,
+}
+
+/// State shared between the driver and the ports.
+#[derive(Debug, Default)]
+pub(crate) struct SharedState {
+    pub ready: atomic::AtomicBool,
+    pub status: sync::Mutex<NodeStatus>,
+    pub config: sync::RwLock<Option<sync::Arc<config::FleetConfig>>>,
+    pub ids: IdSource,
+    pub body_bytes: atomic::AtomicUsize,
+}
+
+impl SharedState {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<sync::Arc<config::FleetConfig>> {
+        self.config
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    /// A copy of the last status.
+    pub fn status(&self) -> NodeStatus {
+        self.status
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+}
+
+/// Hands out request ids.
+#[derive(Debug, Default)]
+pub(crate) struct IdSource {
+    pub incarnation: atomic::AtomicU64,
+    next: atomic::AtomicU64,
+}
+
+impl IdSource {
+    pub fn draw(&self) -> ids::RequestId {
+        let node = ids::NodeIncarnation(self.incarnation.load(atomic::Ordering::Relaxed));
+        let count = self.next.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        ids::RequestId { node, count }
+    }
+}
+
+/// Counts by reason, with the reason as text.
+pub(crate) fn by_reason<R: ToString>(counts: &map::HashMap<R, u64>) -> Vec<(String, u64)> {
+    counts
+        .iter()
+        .map(|(reason, count)| (reason.to_string(), *count))
+        .collect()
+}
+
+/// The outcome's name in replies and metrics.
+pub(crate) fn outcome_name(outcome: &outcome::RequestOutcome) -> &'static str {
+    match outcome {
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => "answered",
+        outcome::RequestOutcome::NotRun { .. } => "not_run",
+        outcome::RequestOutcome::Failed { .. } => "failed",
+        outcome::RequestOutcome::Unknown { .. } => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,159 @@
+//! HTTP client of a model engine.
+
+use std::net;
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use model::ids;
+use model::load;
+use model::outcome;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::connect;
+use crate::wire;
+
+/// Longest wait for a reply to a short call.
+const REPLY_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Something that came from an endpoint in the course of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AttemptSignal {
+    /// Bytes of the protocol came.
+    Progress,
+    /// A piece of the answer came.
+    Piece(AnswerPiece),
+}
+
+/// A piece of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerPiece {
+    /// The attempt that the engine named.
+    pub named: ids::AttemptId,
+    /// Position in the answer, from zero.
+    pub offset: u64,
+    /// The text.
+    pub text: String,
+}
+
+/// Where and how to send a completion.
+#[derive(Clone, Debug)]
+pub struct CompletionOrder<'a> {
+    /// The engine's address.
+    pub address: net::SocketAddr,
+    /// Time after which no byte may be sent any more.
+    pub not_after: time::Instant,
+    /// The request.
+    pub request: wire::EngineRequest<'a>,
+}
+
+/// Sends a completion and passes on what comes back.
+pub async fn complete(
+    order: CompletionOrder<'_>,
+    signals: mpsc::Sender<AttemptSignal>,
+) -> outcome::AttemptEnd {
+    let Ok(body) = serde_json::to_vec(&order.request) else {
+        return outcome::AttemptEnd::NotSent;
+    };
+    let request = http::Request::post(wire::COMPLETIONS_PATH)
+        .header(http::header::HOST, order.address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(connect::SentBody::from(body));
+    let Ok(request) = request else {
+        return outcome::AttemptEnd::NotSent;
+    };
+    let Some(mut sender) = connect::dial(order.address).await else {
+        return outcome::AttemptEnd::NotSent;
+    };
+    if time::Instant::now() >= order.not_after {
+        return outcome::AttemptEnd::NotSent;
+    }
+    let Ok(response) = sender.send_request(request).await else {
+        return outcome::AttemptEnd::Broken;
+    };
+    match response.status() {
+        http::StatusCode::OK => read_stream(response.into_body(), signals).await,
+        http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
+            outcome::AttemptEnd::Refused
+        }
+        _ => outcome::AttemptEnd::Broken,
+    }
+}
+
+async fn read_stream(
+    body: hyper::body::Incoming,
+    signals: mpsc::Sender<AttemptSignal>,
+) -> outcome::AttemptEnd {
+    let mut events = body.into_data_stream().eventsource();
+    if signals.send(AttemptSignal::Progress).await.is_err() {
+        return outcome::AttemptEnd::Broken;
+    }
+    while let Some(Ok(event)) = events.next().await {
+        if event.data == wire::DONE_DATA {
+            return outcome::AttemptEnd::Complete { answer: None };
+        }
+        let signal = if event.event == wire::PROGRESS_EVENT {
+            AttemptSignal::Progress
+        } else {
+            match parse_piece(&event.data) {
+                Some(piece) => AttemptSignal::Piece(piece),
+                None => return outcome::AttemptEnd::Broken,
+            }
+        };
+        if signals.send(signal).await.is_err() {
+            return outcome::AttemptEnd::Broken;
+        }
+    }
+    outcome::AttemptEnd::Broken
+}
+
+fn parse_piece(data: &str) -> Option<AnswerPiece> {
+    let chunk = serde_json::from_str::<wire::CompletionChunk>(data).ok()?;
+    let named = ids::AttemptId::try_from(chunk.id).ok()?;
+    let offset = chunk.offset?;
+    let text = chunk.choices.into_iter().next()?.text;
+    Some(AnswerPiece {
+        named,
+        offset,
+        text,
+    })
+}
+
+/// Tells an engine to free what it holds of an attempt. Returns whether it confirmed.
+pub async fn cancel(address: net::SocketAddr, attempt: ids::AttemptId) -> bool {
+    let Ok(body) = serde_json::to_vec(&wire::CancelRequest { attempt }) else {
+        return false;
+    };
+    let request = http::Request::post(wire::CANCEL_PATH);
+    short_call(address, request, body).await.is_some()
+}
+
+/// Reads an engine's load.
+pub async fn load(address: net::SocketAddr) -> Option<load::EngineLoad> {
+    let body = short_call(address, http::Request::get(wire::LOAD_PATH), Vec::new()).await?;
+    serde_json::from_slice(&body).ok()
+}
+
+async fn short_call(
+    address: net::SocketAddr,
+    request: http::request::Builder,
+    body: Vec<u8>,
+) -> Option<bytes::Bytes> {
+    let request = request
+        .header(http::header::HOST, address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(connect::SentBody::from(body))
+        .ok()?;
+    let exchange = async {
+        let mut sender = connect::dial(address).await?;
+        let response = sender.send_request(request).await.ok()?;
+        if response.status() != http::StatusCode::OK {
+            return None;
+        }
+        let body = response.into_body().collect().await.ok()?;
+        Some(body.to_bytes())
+    };
+    time::timeout(REPLY_LIMIT, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/fakes/src/args.rs
@@ -0,0 +1,121 @@
+//! Command line of the stand-ins.
+
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+use std::time::Duration;
+
+use crate::engine;
+use crate::hosts;
+use crate::plain;
+use crate::proxy;
+use crate::store;
+
+/// Stand-ins for what sardinepaddle works with.
+#[derive(Clone, Debug, clap::Parser)]
+#[command(name = "sardinepaddle-fakes")]
+pub struct FakeArgs {
+    #[command(subcommand)]
+    command: FakeCommand,
+}
+
+#[derive(Clone, Debug, clap::Subcommand)]
+enum FakeCommand {
+    /// A model engine.
+    Engine {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        /// How it behaves (YAML); defaults where absent.
+        #[arg(long)]
+        model: Option<path::PathBuf>,
+    },
+    /// A plain service that counts what it ran.
+    Plain {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: net::SocketAddr,
+    },
+    /// The object API.
+    Store {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: net::SocketAddr,
+    },
+    /// The host list.
+    Hosts {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        /// First listing (YAML).
+        #[arg(long)]
+        listing: path::PathBuf,
+        /// Age of what it shows, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        lag_ms: u64,
+    },
+    /// A link that can be made faulty by `POST /fault` on its control address.
+    Proxy {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        /// Where to connect to.
+        #[arg(long)]
+        to: net::SocketAddr,
+        /// Address for control.
+        #[arg(long)]
+        control: net::SocketAddr,
+    },
+}
+
+impl FakeArgs {
+    /// Runs the stand-in until the process is ended.
+    pub fn run(self) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        runtime.block_on(serve(self.command))
+    }
+}
+
+async fn serve(command: FakeCommand) -> io::Result<()> {
+    match command {
+        FakeCommand::Engine { listen, model } => {
+            let model = match model {
+                Some(path) => read_yaml(&path)?,
+                None => engine::EngineModel::default(),
+            };
+            engine::FakeEngine::start(listen, model).await?.wait().await;
+        }
+        FakeCommand::Plain { listen } => plain::FakePlain::start(listen).await?.wait().await,
+        FakeCommand::Store { listen } => store::FakeStore::start(listen).await?.wait().await,
+        FakeCommand::Hosts {
+            listen,
+            listing,
+            lag_ms,
+        } => {
+            let listing = read_yaml(&listing)?;
+            let lag = Duration::from_millis(lag_ms);
+            hosts::FakeHosts::start(listen, listing, lag)
+                .await?
+                .wait()
+                .await;
+        }
+        FakeCommand::Proxy {
+            listen,
+            to,
+            control,
+        } => {
+            let proxy = proxy::FaultProxy::start(listen, to).await?;
+            proxy.serve_control(control).await?.wait().await;
+        }
+    }
+    Ok(())
+}
+
+fn read_yaml<T: serde::de::DeserializeOwned>(path: &path::Path) -> io::Result<T> {
+    let text = fs::read_to_string(path)?;
+    serde_yaml_ng::from_str(&text).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/fakes/src/process.rs
@@ -0,0 +1,103 @@
+//! Processes under test. Each is ended, by its id, when dropped.
+
+use std::ffi;
+use std::fs;
+use std::io;
+use std::path;
+use std::process;
+use std::time::Duration;
+
+use nix::sys::signal;
+use nix::unistd;
+use tokio::time;
+
+/// Time between two looks at a process that is to end.
+const END_PERIOD: Duration = Duration::from_millis(20);
+
+/// A process under test.
+#[derive(Debug)]
+pub struct TestProcess {
+    child: process::Child,
+}
+
+impl TestProcess {
+    /// Starts a program of this workspace, with its output in `log`.
+    pub fn start<I, S>(program: &str, args: I, log: &path::Path) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<ffi::OsStr>,
+    {
+        let output = fs::File::options().create(true).append(true).open(log)?;
+        let child = process::Command::new(program_path(program)?)
+            .args(args)
+            .stdin(process::Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills it without warning.
+    pub fn kill(&mut self) {
+        // A process that has ended already is fine.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops it from running, as a long pause does.
+    pub fn freeze(&self) {
+        self.send(signal::Signal::SIGSTOP);
+    }
+
+    /// Lets it run again.
+    pub fn thaw(&self) {
+        self.send(signal::Signal::SIGCONT);
+    }
+
+    /// Asks it to end.
+    pub fn terminate(&self) {
+        self.send(signal::Signal::SIGTERM);
+    }
+
+    fn send(&self, signal: signal::Signal) {
+        let id = i32::try_from(self.child.id()).unwrap_or(i32::MAX);
+        // A process that has ended already is fine.
+        let _ = signal::kill(unistd::Pid::from_raw(id), signal);
+    }
+
+    /// Waits for its end; `None` if it has not ended within `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Option<process::ExitStatus> {
+        let until = time::Instant::now() + limit;
+        while time::Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            time::sleep(END_PERIOD).await;
+        }
+        None
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The path of a program built with this one.
+fn program_path(program: &str) -> io::Result<path::PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders
+        .map(|folder| folder.join(program))
+        .find(|path| path.is_file());
+    found.ok_or_else(|| {
+        let text = format!("{program} is not built; run cargo build --workspace");
+        io::Error::new(io::ErrorKind::NotFound, text)
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/proxy.rs
@@ -0,0 +1,225 @@
+//! A TCP proxy that injects faults into one link.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use axum::routing;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+use crate::serve;
+
+/// Bytes moved at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// The fault of a link.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkFault {
+    /// None.
+    #[default]
+    None,
+    /// Open connections are closed, and new ones too.
+    Cut,
+    /// Connections open now go silent for good; new ones work.
+    Freeze,
+    /// All connections go silent, new ones too.
+    Blackhole,
+    /// Bytes are held back for so many milliseconds.
+    Delay(u64),
+    /// Requests pass and answers are dropped.
+    DropAnswers,
+}
+
+/// State told to all connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkState {
+    fault: LinkFault,
+    /// Connections numbered up to here are frozen.
+    frozen_to: u64,
+}
+
+/// A proxy that runs until it is dropped.
+#[derive(Debug)]
+pub struct FaultProxy {
+    address: net::SocketAddr,
+    control: ProxyControl,
+    task: task::JoinHandle<()>,
+}
+
+/// Changes the fault of a link.
+#[derive(Clone, Debug)]
+pub struct ProxyControl {
+    state: sync::Arc<watch::Sender<LinkState>>,
+    opened: sync::Arc<sync::atomic::AtomicU64>,
+}
+
+impl ProxyControl {
+    /// Sets the fault.
+    pub fn set(&self, fault: LinkFault) {
+        let opened = self.opened.load(sync::atomic::Ordering::SeqCst);
+        self.state.send_modify(|state| {
+            state.fault = fault;
+            if fault == LinkFault::Freeze {
+                state.frozen_to = opened;
+            }
+        });
+    }
+}
+
+impl FaultProxy {
+    /// Starts a proxy from `address` to `target`.
+    pub async fn start(address: net::SocketAddr, target: net::SocketAddr) -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let control = ProxyControl {
+            state: sync::Arc::new(watch::Sender::new(LinkState::default())),
+            opened: sync::Arc::default(),
+        };
+        let task = tokio::spawn(accept(listener, target, control.clone()));
+        Ok(Self {
+            address,
+            control,
+            task,
+        })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Changes the fault.
+    pub fn control(&self) -> &ProxyControl {
+        &self.control
+    }
+
+    /// Serves `POST /fault` on `address` until it is dropped.
+    pub async fn serve_control(&self, address: net::SocketAddr) -> io::Result<serve::ServerTask> {
+        let router = axum::Router::new()
+            .route("/fault", routing::post(set_fault))
+            .with_state(self.control.clone());
+        serve::start(address, router).await
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn set_fault(
+    axum::extract::State(control): axum::extract::State<ProxyControl>,
+    axum::Json(fault): axum::Json<LinkFault>,
+) -> http::StatusCode {
+    control.set(fault);
+    http::StatusCode::OK
+}
+
+async fn accept(listener: tokio::net::TcpListener, target: net::SocketAddr, control: ProxyControl) {
+    loop {
+        let Ok((inbound, _)) = listener.accept().await else {
+            continue;
+        };
+        if control.state.borrow().fault == LinkFault::Cut {
+            continue;
+        }
+        let number = control.opened.fetch_add(1, sync::atomic::Ordering::SeqCst) + 1;
+        let state = control.state.subscribe();
+        tokio::spawn(link(inbound, target, number, state));
+    }
+}
+
+async fn link(
+    inbound: tokio::net::TcpStream,
+    target: net::SocketAddr,
+    number: u64,
+    state: watch::Receiver<LinkState>,
+) {
+    let Ok(outbound) = tokio::net::TcpStream::connect(target).await else {
+        return;
+    };
+    // Only latency suffers if the options cannot be set.
+    let _ = inbound.set_nodelay(true);
+    let _ = outbound.set_nodelay(true);
+    let (caller_read, caller_write) = inbound.into_split();
+    let (target_read, target_write) = outbound.into_split();
+    let mut cut = state.clone();
+    let requests = pump(
+        caller_read,
+        target_write,
+        PumpState {
+            number,
+            state: state.clone(),
+            answers: false,
+        },
+    );
+    let answers = pump(
+        target_read,
+        caller_write,
+        PumpState {
+            number,
+            state,
+            answers: true,
+        },
+    );
+    tokio::select! {
+        _ = async { tokio::join!(requests, answers) } => {}
+        _ = cut.wait_for(|state| state.fault == LinkFault::Cut) => {}
+    }
+}
+
+struct PumpState {
+    number: u64,
+    state: watch::Receiver<LinkState>,
+    answers: bool,
+}
+
+impl PumpState {
+    fn is_silent(&self) -> bool {
+        let state = self.state.borrow();
+        state.fault == LinkFault::Blackhole || self.number <= state.frozen_to
+    }
+
+    /// Waits while the connection is silent; a frozen one stays so for good.
+    async fn hold(&mut self) {
+        while self.is_silent() {
+            if self.state.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn pump(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, mut pump: PumpState) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let Ok(count) = from.read(&mut buffer).await else {
+            pump.hold().await;
+            return;
+        };
+        pump.hold().await;
+        if count == 0 {
+            // The other direction may still have bytes to move.
+            let _ = to.shutdown().await;
+            return;
+        }
+        let fault = pump.state.borrow().fault;
+        match fault {
+            LinkFault::Delay(millis) => time::sleep(Duration::from_millis(millis)).await,
+            LinkFault::DropAnswers if pump.answers => continue,
+            _ => {}
+        }
+        pump.hold().await;
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -5,16 +5,30 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::audit;
 use crate::ids;
 
 /// Name of the object that holds the configuration.
 pub const CONFIG_OBJECT: &str = "config/current";
 
 /// Version of an accepted configuration, as given by the object API. Only rises.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct ConfigVersion(pub u64);
 
+/// Content of the object named [`CONFIG_OBJECT`]: the configuration together with the newest
+/// entries of its audit trail, so that a change and its entry are written as one.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ConfigObject {
+    /// The configuration.
+    pub config: FleetConfig,
+    /// Newest changes, oldest first.
+    #[serde(default)]
+    pub audit: Vec<audit::AuditEntry>,
+}
+
 /// Everything that operators decide about a fleet.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -68,7 +82,10 @@
 
 impl Default for CustomerEntry {
     fn default() -> Self {
-        Self { weight: default_weight(), max_in_flight: default_customer_in_flight() }
+        Self {
+            weight: default_weight(),
+            max_in_flight: default_customer_in_flight(),
+        }
     }
 }
 
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -55,7 +55,9 @@
 );
 
 /// One life of a daemon process: a new value after each start and after each long pause.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct NodeIncarnation(pub u64);
 
@@ -124,7 +126,10 @@
     if parts.next().is_some() {
         return None;
     }
-    let request = RequestId { node: NodeIncarnation(node), count };
+    let request = RequestId {
+        node: NodeIncarnation(node),
+        count,
+    };
     Some(AttemptId { request, number })
 }
 
@@ -152,7 +157,11 @@
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part.as_bytes());
         }
-        let hex = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+        let hex = digest
+            .finalize()
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect::<String>();
         Self(hex[..Self::DIGITS].into())
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,5 +1,6 @@
 //! Ids, units, configuration and messages shared by every part of sardinepaddle.
 
+pub mod audit;
 pub mod config;
 pub mod ids;
 pub mod load;
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -15,6 +15,9 @@
     pub memory_tokens: u64,
     /// Tokens in use.
     pub used_tokens: u64,
+    /// Whether the engine is leaving and wants no new work.
+    #[serde(default)]
+    pub leaving: bool,
     /// Streams that hold memory.
     pub streams: Vec<EngineStream>,
 }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -33,6 +33,8 @@
     Unknown {
         /// Why.
         reason: FailureReason,
+        /// When to come back, where a repeat can learn the outcome.
+        retry_after: Option<time::Duration>,
     },
 }
 
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -205,8 +205,8 @@
     Unknown,
     /// The claim cannot be recorded now.
     Unavailable,
-    /// The receiver does not own the shard.
-    NotOwner,
+    /// The shard has no room for another claim.
+    Full,
 }
 
 /// How a claimed call ended.
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -93,7 +93,11 @@
     /// Tokens of engine memory that the request may come to hold.
     pub fn memory_tokens(&self) -> u64 {
         match &self.kind {
-            RequestKind::Prompt { prompt_tokens, max_tokens, .. } => prompt_tokens + max_tokens,
+            RequestKind::Prompt {
+                prompt_tokens,
+                max_tokens,
+                ..
+            } => prompt_tokens + max_tokens,
             RequestKind::Plain { .. } => 0,
         }
     }
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of one object; zero stands for an absent object.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct ObjectVersion(pub u64);
 
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -13,7 +13,9 @@
 /// let start = MonoTime::from_millis(40);
 /// assert_eq!(start + Duration::from_millis(2), MonoTime::from_millis(42));
 /// ```
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct MonoTime(u64);
 
 impl MonoTime {
--- /dev/null
+++ b/crates/node/src/machine.rs
@@ -0,0 +1,276 @@
+//! The state machine itself: dispatches events and runs the systems in a fixed order.
+
+use std::time::Duration;
+
+use model::config;
+use model::ids;
+use model::peer;
+use model::time;
+
+use crate::action;
+use crate::event;
+use crate::settings;
+use crate::state;
+use crate::stats;
+use crate::systems;
+use crate::tables::member;
+
+/// How often the driver is to send [`event::NodeEvent::Tick`].
+pub const TICK_PERIOD: Duration = Duration::from_millis(20);
+
+/// All decisions of one daemon.
+#[derive(Clone, Debug)]
+pub struct NodeMachine {
+    state: state::NodeState,
+}
+
+impl NodeMachine {
+    /// Makes a machine that knows nothing but its settings.
+    pub fn new(settings: settings::NodeSettings, now: time::MonoTime) -> Self {
+        Self {
+            state: state::NodeState::new(settings, now),
+        }
+    }
+
+    /// Takes one event in and returns what is to be done, in order.
+    pub fn step(
+        &mut self,
+        now: time::MonoTime,
+        event: event::NodeEvent,
+    ) -> Vec<action::NodeAction> {
+        let state = &mut self.state;
+        systems::membership::notice_absence(state, now);
+        state.now = now.max(state.now);
+        dispatch(state, event);
+        drain_inbox(state);
+        std::mem::take(&mut state.actions)
+    }
+
+    /// Counts of what was decided.
+    pub fn stats(&self) -> &stats::NodeStats {
+        &self.state.stats
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> config::ConfigVersion {
+        self.state.config.version
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<std::sync::Arc<config::FleetConfig>> {
+        self.state.config.config.clone()
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.state.requests.len()
+    }
+
+    /// This life of the daemon.
+    pub fn incarnation(&self) -> ids::NodeIncarnation {
+        self.state.incarnation
+    }
+
+    /// Other daemons and their health as seen here.
+    pub fn members(&self) -> Vec<peer::MemberUpdate> {
+        self.state
+            .members
+            .iter()
+            .map(|entry| entry.update.clone())
+            .collect()
+    }
+
+    /// Endpoints that this daemon keeps, with what each carries.
+    pub fn kept_endpoints(&self) -> Vec<KeptEndpoint> {
+        let ledgers = self.state.ledgers.ledgers.iter();
+        ledgers
+            .map(|(id, ledger)| KeptEndpoint {
+                endpoint: id.clone(),
+                carry: ledger.carry,
+                used_slots: ledger.used_slots(),
+                used_tokens: ledger.used_tokens(),
+            })
+            .collect()
+    }
+}
+
+/// An endpoint as its keeper sees it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct KeptEndpoint {
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// Requests that it has earned the right to carry.
+    pub carry: u32,
+    /// Requests that it is taken to carry.
+    pub used_slots: u32,
+    /// Tokens that it is taken to hold.
+    pub used_tokens: u64,
+}
+
+/// Makes the incarnation of a new process from its start time and its host's name.
+///
+/// ```
+/// use model::ids::HostId;
+/// let host = HostId::new("a1");
+/// let first = sardinepaddle_node::machine::new_incarnation(&host, 1_000);
+/// let second = sardinepaddle_node::machine::new_incarnation(&host, 1_001);
+/// assert!(first < second);
+/// ```
+pub fn new_incarnation(host: &ids::HostId, wall_ms: u64) -> ids::NodeIncarnation {
+    let digest = member::role_weight(host, "incarnation") & ((1 << member::HOST_BITS) - 1);
+    let stamp = wall_ms << (member::HOST_BITS + member::LIFE_BITS);
+    ids::NodeIncarnation(stamp | (digest << member::LIFE_BITS))
+}
+
+fn dispatch(state: &mut state::NodeState, event: event::NodeEvent) {
+    match event {
+        event::NodeEvent::Tick => tick(state),
+        event::NodeEvent::ConfigSeen { version, config } => {
+            systems::config::on_seen(state, version, config);
+        }
+        event::NodeEvent::WatchHeard => systems::config::on_heard(state),
+        event::NodeEvent::HostsListed {
+            hosts,
+            leaving_endpoints,
+        } => {
+            systems::membership::on_listed(state, hosts);
+            state.endpoints.leaving = leaving_endpoints;
+        }
+        event::NodeEvent::PeerReceived { envelope } => receive(state, envelope),
+        event::NodeEvent::RequestArrived { request } => {
+            systems::admission::on_arrived(state, request)
+        }
+        event::NodeEvent::CallerGone { request } => systems::retry::on_caller_gone(state, request),
+        event::NodeEvent::AttemptProgressed { attempt } => {
+            systems::retry::on_progress(state, attempt)
+        }
+        event::NodeEvent::ChunkReceived {
+            attempt,
+            named,
+            offset,
+        } => {
+            systems::retry::on_chunk(state, attempt, named, offset);
+        }
+        event::NodeEvent::AttemptEnded { attempt, end } => {
+            systems::retry::on_ended(state, attempt, end)
+        }
+        event::NodeEvent::LoadReported { endpoint, load } => {
+            systems::grants::on_load(state, &endpoint, load);
+        }
+        event::NodeEvent::CancelConfirmed { attempt } => {
+            systems::reclaim::on_confirmed(state, attempt)
+        }
+        event::NodeEvent::StoreReplied { call, reply } => {
+            if !systems::config::on_reply(state, call, &reply) {
+                systems::claims::on_reply(state, call, reply);
+            }
+        }
+        event::NodeEvent::ShutdownAsked => systems::drain::on_shutdown(state),
+    }
+}
+
+fn tick(state: &mut state::NodeState) {
+    systems::membership::tick(state);
+    systems::config::tick(state);
+    systems::grants::tick(state);
+    systems::claims::tick(state);
+    systems::placement::tick(state);
+    systems::retry::tick(state);
+    systems::reclaim::tick(state);
+    systems::drain::tick(state);
+}
+
+fn receive(state: &mut state::NodeState, envelope: peer::PeerEnvelope) {
+    systems::membership::on_heard(state, &envelope);
+    let from = envelope.from.clone();
+    deliver(state, &from, Some(&envelope), envelope.message.clone());
+}
+
+fn drain_inbox(state: &mut state::NodeState) {
+    let own = state.host().clone();
+    while let Some(message) = state.inbox.pop_front() {
+        deliver(state, &own, None, message);
+    }
+}
+
+fn deliver(
+    state: &mut state::NodeState,
+    from: &ids::HostId,
+    envelope: Option<&peer::PeerEnvelope>,
+    message: peer::PeerMessage,
+) {
+    match message {
+        peer::PeerMessage::Probe {
+            number,
+            version,
+            updates,
+        } => {
+            if let Some(envelope) = envelope {
+                systems::membership::on_probe(state, envelope, number, updates);
+                systems::config::on_version(state, from, version);
+            }
+        }
+        peer::PeerMessage::ProbeReply {
+            number,
+            version,
+            updates,
+        } => {
+            systems::membership::on_probe_reply(state, number, updates);
+            systems::config::on_version(state, from, version);
+        }
+        peer::PeerMessage::ProbeFor { number, target } => {
+            systems::membership::on_probe_for(state, from, number, target);
+        }
+        peer::PeerMessage::ConfigAsk { version } => systems::config::on_ask(state, from, version),
+        peer::PeerMessage::ConfigPush { version, config } => {
+            systems::config::on_seen(state, version, config);
+        }
+        peer::PeerMessage::GrantAsk {
+            endpoint,
+            attempt,
+            class,
+            tokens,
+        } => {
+            let ask = systems::grants::GrantAsk {
+                endpoint,
+                attempt,
+                class,
+                tokens,
+            };
+            systems::grants::on_ask(state, from, ask);
+        }
+        peer::PeerMessage::GrantReply {
+            endpoint,
+            attempt,
+            verdict,
+            free_slots,
+            ..
+        } => {
+            systems::placement::on_grant(state, from, &endpoint, attempt, verdict, free_slots);
+        }
+        peer::PeerMessage::GrantReturn {
+            endpoint,
+            attempt,
+            usage,
+        } => {
+            systems::grants::on_return(state, &endpoint, attempt, usage);
+        }
+        peer::PeerMessage::ClaimAsk { key, request } => {
+            systems::claims::on_ask(state, from, key, request)
+        }
+        peer::PeerMessage::ClaimReply {
+            key,
+            request,
+            verdict,
+        } => {
+            systems::claims::on_verdict(state, from, key, request, verdict);
+        }
+        peer::PeerMessage::ClaimSettle {
+            key,
+            request,
+            settlement,
+        } => {
+            systems::claims::on_settle(state, key, request, settlement);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/systems/admission.rs
@@ -0,0 +1,102 @@
+//! Which requests are taken in.
+
+use std::time::Duration;
+
+use model::config;
+use model::outcome;
+use model::request;
+
+use crate::state;
+use crate::systems;
+use crate::tables::request as table;
+
+/// When to come back after a refusal that a little time may cure.
+pub(crate) const RETRY_SOON: Duration = Duration::from_secs(1);
+/// When to come back after a refusal that takes longer to cure.
+pub(crate) const RETRY_LATER: Duration = Duration::from_secs(5);
+
+/// Takes a request in, or refuses it at once.
+pub(crate) fn on_arrived(state: &mut state::NodeState, head: request::RequestHead) {
+    state.stats.requests += 1;
+    if let Some(refusal) = refuse(state, &head) {
+        systems::retry::finish_unknown(state, &head, refusal);
+        return;
+    }
+    let request = head.id;
+    let entry = table::RequestEntry {
+        head,
+        arrived_at: state.now,
+        phase: table::RequestPhase::Waiting { until: state.now },
+        delivered: 0,
+        attempts: 0,
+        started: 0,
+        sent: false,
+        sent_before: false,
+        claimed: false,
+        tried: Vec::new(),
+    };
+    let claimed = entry.head.claim().is_some();
+    state.requests.insert(entry);
+    if claimed {
+        systems::claims::ask(state, request, 0);
+    } else {
+        systems::placement::place(state, request);
+    }
+}
+
+fn refuse(
+    state: &state::NodeState,
+    head: &request::RequestHead,
+) -> Option<outcome::RequestOutcome> {
+    let soon = Some(RETRY_SOON);
+    if systems::drain::refuses(state) {
+        return Some(not_run(outcome::RefusalReason::ShuttingDown, soon));
+    }
+    let Some(config) = &state.config.config else {
+        return Some(not_run(outcome::RefusalReason::NotReady, soon));
+    };
+    if !systems::config::is_trusted(state) {
+        return Some(not_run(outcome::RefusalReason::NotReady, soon));
+    }
+    let Some(customer) = config.customers.get(&head.customer) else {
+        return Some(not_run(outcome::RefusalReason::UnknownCustomer, None));
+    };
+    if !config.services.contains_key(&head.service) {
+        return Some(not_run(outcome::RefusalReason::UnknownService, None));
+    }
+    if head.deadline <= state.now {
+        return Some(not_run(outcome::RefusalReason::DeadlineTooClose, None));
+    }
+    if head.memory_tokens() > largest_memory(config, head) {
+        return Some(not_run(outcome::RefusalReason::PromptTooLong, None));
+    }
+    if state.requests.of_customer(&head.customer) >= customer.max_in_flight {
+        return Some(not_run(outcome::RefusalReason::CustomerLimit, soon));
+    }
+    if state.requests.len() >= state.settings.max_in_flight {
+        return Some(not_run(outcome::RefusalReason::Overloaded, soon));
+    }
+    None
+}
+
+fn largest_memory(config: &config::FleetConfig, head: &request::RequestHead) -> u64 {
+    let endpoints = config
+        .endpoints
+        .values()
+        .filter(|entry| entry.service == head.service);
+    endpoints
+        .map(|entry| entry.memory_tokens)
+        .max()
+        .unwrap_or(u64::MAX)
+}
+
+/// An outcome that says that the request was not run.
+pub(crate) fn not_run(
+    reason: outcome::RefusalReason,
+    retry_after: Option<Duration>,
+) -> outcome::RequestOutcome {
+    outcome::RequestOutcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/node/src/systems/grants.rs
@@ -0,0 +1,327 @@
+//! Who may load an endpoint: each endpoint has one keeper, which grants the right to send.
+//!
+//! A sender takes a grant as void [`GRANT_SPAN`] after it asked, by its own clock. A new
+//! keeper waits that long, and for the engine's own report, before its first grant.
+
+use std::time::Duration;
+
+use model::config;
+use model::ids;
+use model::load;
+use model::peer;
+use model::request;
+use model::time;
+
+use crate::action;
+use crate::state;
+use crate::systems;
+use crate::tables::ledger;
+
+/// Time after asking within which a grant may be used.
+pub(crate) const GRANT_SPAN: Duration = Duration::from_secs(1);
+/// Longest lag of an engine's load report.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+/// Time between two load reports of a warm engine.
+const LOAD_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two load reports of an engine that is cold or new to its keeper.
+const COLD_LOAD_PERIOD: Duration = Duration::from_millis(250);
+/// Time after which a grant for an endpoint that reports no load counts as returned.
+const SILENT_HOLD_SPAN: Duration = Duration::from_secs(120);
+/// One in this many slots of an engine may be taken by long prompts.
+const LONG_SLOT_DIVISOR: u32 = 4;
+/// Percentage of an engine's memory that long prompts may take.
+const LONG_MEMORY_PERCENT: u64 = 75;
+
+/// What a sender asks of a keeper.
+#[derive(Clone, Debug)]
+pub(crate) struct GrantAsk {
+    pub endpoint: ids::EndpointId,
+    pub attempt: ids::AttemptId,
+    pub class: request::SizeClass,
+    pub tokens: u64,
+}
+
+/// Takes and gives up endpoints, and reads their loads.
+pub(crate) fn tick(state: &mut state::NodeState) {
+    divide_roles(state);
+    poll_loads(state);
+    expire_holds(state);
+}
+
+fn divide_roles(state: &mut state::NodeState) {
+    let basis = ledger::RoleBasis {
+        generation: state.members.generation(),
+        version: state.config.version,
+    };
+    if state.ledgers.made_for == Some(basis) && state.takes_roles() {
+        return;
+    }
+    let Some(config) = state.config.config.clone() else {
+        return;
+    };
+    state.ledgers.made_for = Some(basis);
+    let own = state.host().clone();
+    for (id, entry) in &config.endpoints {
+        let kept = state.keeper_of(id, entry).as_ref() == Some(&own);
+        let open = state.ledgers.ledgers.contains_key(id);
+        if kept && !open {
+            open_ledger(state, &config, id, entry);
+        } else if !kept && open {
+            close_ledger(state, id);
+        }
+    }
+    let gone = state
+        .ledgers
+        .ledgers
+        .keys()
+        .filter(|id| !config.endpoints.contains_key(*id));
+    for id in gone.cloned().collect::<Vec<_>>() {
+        close_ledger(state, &id);
+    }
+}
+
+fn open_ledger(
+    state: &mut state::NodeState,
+    config: &config::FleetConfig,
+    id: &ids::EndpointId,
+    entry: &config::EndpointEntry,
+) {
+    let service = config.services.get(&entry.service);
+    let reports_load =
+        service.is_some_and(|service| matches!(service.kind, config::ServiceKind::Model { .. }));
+    let account = ledger::EndpointLedger {
+        ready_at: state.now + GRANT_SPAN,
+        reports_load,
+        load: None,
+        load_asked_at: state.now,
+        next_load_at: state.now,
+        carry: if reports_load {
+            entry.cold_slots
+        } else {
+            entry.slots
+        },
+        earned: 0,
+        holds: Default::default(),
+    };
+    state.ledgers.ledgers.insert(id.clone(), account);
+    state.note(action::NodeNote::KeeperOpened {
+        endpoint: id.clone(),
+    });
+}
+
+fn close_ledger(state: &mut state::NodeState, id: &ids::EndpointId) {
+    state.ledgers.ledgers.remove(id);
+    state.note(action::NodeNote::KeeperClosed {
+        endpoint: id.clone(),
+    });
+}
+
+fn poll_loads(state: &mut state::NodeState) {
+    let Some(config) = state.config.config.clone() else {
+        return;
+    };
+    let now = state.now;
+    let mut due = Vec::new();
+    for (id, account) in &mut state.ledgers.ledgers {
+        let Some(entry) = config.endpoints.get(id) else {
+            continue;
+        };
+        if !account.reports_load || now < account.next_load_at {
+            continue;
+        }
+        let warm = account.load.is_some() && account.carry >= entry.slots;
+        account.next_load_at = now + if warm { LOAD_PERIOD } else { COLD_LOAD_PERIOD };
+        due.push(action::NodeAction::ReadLoad {
+            endpoint: id.clone(),
+            address: entry.address,
+        });
+    }
+    for read in due {
+        state.act(read);
+    }
+}
+
+fn expire_holds(state: &mut state::NodeState) {
+    let now = state.now;
+    for account in state.ledgers.ledgers.values_mut() {
+        if !account.reports_load {
+            account
+                .holds
+                .retain(|_, hold| now.since(hold.granted_at) < SILENT_HOLD_SPAN);
+        }
+    }
+}
+
+/// Takes an engine's load report.
+pub(crate) fn on_load(
+    state: &mut state::NodeState,
+    id: &ids::EndpointId,
+    load: Option<load::EngineLoad>,
+) {
+    let Some(entry) = endpoint_entry(state, id) else {
+        return;
+    };
+    let now = state.now;
+    let Some(account) = state.ledgers.ledgers.get_mut(id) else {
+        return;
+    };
+    let Some(load) = load else {
+        return;
+    };
+    let restarted = account
+        .load
+        .as_ref()
+        .is_some_and(|old| old.incarnation != load.incarnation);
+    if restarted {
+        account.carry = entry.cold_slots;
+        account.earned = 0;
+        account.holds.clear();
+    }
+    account.holds.retain(|attempt, hold| {
+        let young = now.since(hold.granted_at) < GRANT_SPAN + REPORT_LAG;
+        young || load.streams.iter().any(|stream| stream.attempt == *attempt)
+    });
+    account.load = Some(load.clone());
+    account.load_asked_at = now;
+    if restarted {
+        state.note(action::NodeNote::EngineCold {
+            endpoint: id.clone(),
+        });
+    }
+    systems::reclaim::on_streams(state, id, &load.streams);
+}
+
+/// Answers a sender that asks for a grant.
+pub(crate) fn on_ask(state: &mut state::NodeState, from: &ids::HostId, ask: GrantAsk) {
+    let room = room_for(state, &ask);
+    let verdict = match room {
+        None => peer::GrantVerdict::NotKeeper,
+        Some(room) if room.slots >= 1 && room.tokens >= ask.tokens => peer::GrantVerdict::Granted,
+        Some(_) => peer::GrantVerdict::Full,
+    };
+    let mut room = room.unwrap_or(ledger::SpaceUse {
+        slots: 0,
+        tokens: 0,
+    });
+    if verdict == peer::GrantVerdict::Granted {
+        room.slots -= 1;
+        room.tokens -= ask.tokens;
+        hold(state, &ask);
+        state.stats.grants_given += 1;
+    } else {
+        state.stats.grants_denied += 1;
+    }
+    let reply = peer::PeerMessage::GrantReply {
+        endpoint: ask.endpoint,
+        attempt: ask.attempt,
+        verdict,
+        free_slots: room.slots,
+        free_tokens: room.tokens,
+    };
+    state.send(from, reply);
+}
+
+fn hold(state: &mut state::NodeState, ask: &GrantAsk) {
+    let now = state.now;
+    if let Some(account) = state.ledgers.ledgers.get_mut(&ask.endpoint) {
+        let hold = ledger::GrantHold {
+            class: ask.class,
+            tokens: ask.tokens,
+            granted_at: now,
+        };
+        account.holds.insert(ask.attempt, hold);
+    }
+}
+
+/// Room on an endpoint for a request; `None` if this daemon may not grant it at all.
+fn room_for(state: &state::NodeState, ask: &GrantAsk) -> Option<ledger::SpaceUse> {
+    let entry = endpoint_entry(state, &ask.endpoint)?;
+    let account = state.ledgers.ledgers.get(&ask.endpoint)?;
+    let leaving = account.load.as_ref().is_some_and(|load| load.leaving);
+    if !state.takes_work(&ask.endpoint, &entry) || leaving || !systems::config::is_trusted(state) {
+        return None;
+    }
+    if !is_ready(account, state.now) || !systems::membership::has_joined(state) {
+        return Some(ledger::SpaceUse {
+            slots: 0,
+            tokens: 0,
+        });
+    }
+    let memory = match &account.load {
+        Some(load) => load.memory_tokens,
+        None => entry.memory_tokens,
+    };
+    let slots = account.carry.saturating_sub(account.used_slots());
+    let tokens = memory.saturating_sub(account.used_tokens());
+    let policy = state
+        .config
+        .config
+        .as_ref()
+        .map(|config| config.policy.placement);
+    let sized = policy == Some(config::PlacementPolicy::SizeAware);
+    if !sized || ask.class != request::SizeClass::Long {
+        return Some(ledger::SpaceUse { slots, tokens });
+    }
+    let long = account.long_use();
+    let long_slots = (account.carry / LONG_SLOT_DIVISOR).max(1);
+    let long_tokens = memory * LONG_MEMORY_PERCENT / 100;
+    Some(ledger::SpaceUse {
+        slots: slots.min(long_slots.saturating_sub(long.slots)),
+        tokens: tokens.min(long_tokens.saturating_sub(long.tokens)),
+    })
+}
+
+fn is_ready(account: &ledger::EndpointLedger, now: time::MonoTime) -> bool {
+    let waited = now >= account.ready_at;
+    let seen = !account.reports_load || account.load.is_some();
+    waited && seen
+}
+
+/// Takes a grant back.
+pub(crate) fn on_return(
+    state: &mut state::NodeState,
+    id: &ids::EndpointId,
+    attempt: ids::AttemptId,
+    usage: peer::GrantUsage,
+) {
+    let Some(entry) = endpoint_entry(state, id) else {
+        return;
+    };
+    let Some(account) = state.ledgers.ledgers.get_mut(id) else {
+        return;
+    };
+    if account.holds.remove(&attempt).is_none() {
+        return;
+    }
+    if let Some(load) = &mut account.load {
+        load.streams.retain(|stream| stream.attempt != attempt);
+    }
+    match usage {
+        peer::GrantUsage::Finished => earn(account, &entry),
+        peer::GrantUsage::Failed => lose(account, &entry),
+        peer::GrantUsage::Unused => {}
+    }
+}
+
+/// A finished request is evidence: the carry rises by one after as many as it is.
+fn earn(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry) {
+    if account.carry >= entry.slots {
+        return;
+    }
+    account.earned += 1;
+    if account.earned >= account.carry {
+        account.earned = 0;
+        account.carry = (account.carry * 2).min(entry.slots);
+    }
+}
+
+/// A refusal or a broken answer is evidence against the endpoint.
+fn lose(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry) {
+    account.earned = 0;
+    account.carry = (account.carry / 2).max(entry.cold_slots);
+}
+
+fn endpoint_entry(state: &state::NodeState, id: &ids::EndpointId) -> Option<config::EndpointEntry> {
+    let config = state.config.config.as_ref()?;
+    config.endpoints.get(id).cloned()
+}
--- /dev/null
+++ b/crates/node/src/systems/membership.rs
@@ -0,0 +1,499 @@
+//! Who is alive: fixed fan-out probing with news carried on the probes.
+//!
+//! The host list only proposes members. A member is usable once it has been heard of from
+//! itself or from a daemon that heard it. The cost of a period does not grow with the fleet.
+
+use std::cmp;
+use std::time::Duration;
+
+use model::ids;
+use model::peer;
+use model::time;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use crate::action;
+use crate::state;
+use crate::systems;
+use crate::tables::member;
+
+/// Time between two probes.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two probes while the daemon is new.
+const JOIN_PROBE_PERIOD: Duration = Duration::from_millis(100);
+/// How long a daemon counts as new.
+const JOIN_SPAN: Duration = Duration::from_secs(5);
+/// Time after which a daemon takes roles even if some listed daemons were never heard of.
+const JOIN_LIMIT: Duration = Duration::from_secs(3);
+/// Time after which others are asked to probe too.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a probe has failed.
+const PROBE_LIMIT: Duration = Duration::from_millis(800);
+/// Others asked to probe a silent member.
+const PROBE_RELAYS: usize = 2;
+/// Time that a suspect has to refute.
+const SUSPECT_SPAN: Duration = Duration::from_millis(1_500);
+/// Time after which the dead are forgotten, if the host list names them no more.
+const FORGET_SPAN: Duration = Duration::from_secs(60);
+/// Most news on one message.
+const UPDATES_PER_MESSAGE: usize = 8;
+/// Most news on the answer to a stranger.
+const UPDATES_FOR_STRANGER: usize = 48;
+/// Messages that carry one piece of news.
+const GOSSIP_COPIES: u32 = 8;
+/// Time between two readings of the host list.
+const LIST_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two readings of the host list while no member is usable.
+const LIST_PERIOD_ALONE: Duration = Duration::from_secs(1);
+/// A daemon that was not run for this long takes itself for dead and rejoins.
+pub(crate) const AWAY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Rejoins under a new life if the process was not run for too long.
+pub(crate) fn notice_absence(state: &mut state::NodeState, now: time::MonoTime) {
+    if now.since(state.now) <= AWAY_LIMIT {
+        return;
+    }
+    state.now = now;
+    state.incarnation = ids::NodeIncarnation(state.incarnation.0 + 1);
+    state.started_at = now;
+    state.config.heard_at = time::MonoTime::default();
+    state.ledgers = Default::default();
+    state.probes.pending.clear();
+    state.probes.own_gossip_left = GOSSIP_COPIES;
+    systems::retry::abandon_all(state);
+    systems::claims::forget(state);
+    state.note(action::NodeNote::Rejoined {
+        incarnation: state.incarnation,
+    });
+}
+
+/// Sends probes, and moves silent members on.
+pub(crate) fn tick(state: &mut state::NodeState) {
+    list_hosts(state);
+    expire_probes(state);
+    expire_suspects(state);
+    if state.now < state.probes.next_probe_at {
+        return;
+    }
+    let joining = state.now.since(state.started_at) < JOIN_SPAN;
+    let period = if joining {
+        JOIN_PROBE_PERIOD
+    } else {
+        PROBE_PERIOD
+    };
+    state.probes.next_probe_at = state.now + period;
+    if let Some(target) = next_target(state) {
+        probe(state, &target, None);
+    }
+}
+
+fn list_hosts(state: &mut state::NodeState) {
+    if state.now < state.probes.next_list_at {
+        return;
+    }
+    let alone = state.members.usable().next().is_none();
+    let period = if alone {
+        LIST_PERIOD_ALONE
+    } else {
+        LIST_PERIOD
+    };
+    state.probes.next_list_at = state.now + period;
+    state.act(action::NodeAction::ListHosts);
+}
+
+fn next_target(state: &mut state::NodeState) -> Option<ids::HostId> {
+    loop {
+        if state.probes.round.is_empty() {
+            let members = state.members.iter();
+            let mut round = members
+                .map(|entry| entry.update.entry.host.clone())
+                .collect::<Vec<_>>();
+            round.shuffle(&mut state.rng);
+            state.probes.round = round;
+        }
+        let host = state.probes.round.pop()?;
+        if state.members.get(&host).is_some() {
+            return Some(host);
+        }
+    }
+}
+
+fn probe(state: &mut state::NodeState, target: &ids::HostId, relay: Option<state::RelayedProbe>) {
+    state.probes.next_number += 1;
+    let number = state.probes.next_number;
+    let pending = state::PendingProbe {
+        target: target.clone(),
+        sent_at: state.now,
+        relayed: relay.is_some(),
+        relay_for: relay,
+    };
+    state.probes.pending.insert(number, pending);
+    let version = state.config.version;
+    let updates = gather(state, UPDATES_PER_MESSAGE);
+    state.send(
+        target,
+        peer::PeerMessage::Probe {
+            number,
+            version,
+            updates,
+        },
+    );
+}
+
+/// News to be carried on the next message, the freshest first.
+fn gather(state: &mut state::NodeState, most: usize) -> Vec<peer::MemberUpdate> {
+    let mut updates = Vec::new();
+    if state.probes.own_gossip_left > 0 {
+        state.probes.own_gossip_left -= 1;
+        updates.push(own_update(state));
+    }
+    let mut fresh = state
+        .members
+        .iter_mut()
+        .filter(|entry| entry.gossip_left > 0)
+        .collect::<Vec<_>>();
+    fresh.sort_by_key(|entry| cmp::Reverse(entry.gossip_left));
+    for entry in fresh.into_iter().take(most.saturating_sub(updates.len())) {
+        entry.gossip_left -= 1;
+        updates.push(entry.update.clone());
+    }
+    updates
+}
+
+fn own_update(state: &state::NodeState) -> peer::MemberUpdate {
+    let leaving = state.drain.since.is_some();
+    peer::MemberUpdate {
+        entry: state.settings.entry.clone(),
+        incarnation: state.incarnation,
+        revision: state.probes.revision,
+        state: if leaving {
+            peer::MemberState::Leaving
+        } else {
+            peer::MemberState::Alive
+        },
+    }
+}
+
+/// Tells everybody this daemon's own state anew.
+pub(crate) fn announce(state: &mut state::NodeState) {
+    state.probes.revision += 1;
+    state.probes.own_gossip_left = GOSSIP_COPIES;
+}
+
+/// Whether enough is known of other daemons to take roles: every listed one was heard of, or
+/// has had its time to answer.
+pub(crate) fn has_joined(state: &state::NodeState) -> bool {
+    let heard = state.members.iter().all(|member| member.update.incarnation.0 > 0);
+    let known = state.probes.listed && heard;
+    known || state.now.since(state.started_at) > JOIN_LIMIT
+}
+
+/// Takes the host list in. It proposes members and never buries a living one.
+pub(crate) fn on_listed(state: &mut state::NodeState, hosts: Vec<peer::HostEntry>) {
+    state.probes.listed = true;
+    for member in state.members.iter_mut() {
+        member.listed = false;
+    }
+    for entry in hosts {
+        if entry.host == *state.host() {
+            continue;
+        }
+        match state.members.get_mut(&entry.host) {
+            Some(member) => {
+                member.listed = true;
+                let unheard = member.update.incarnation.0 == 0;
+                if unheard {
+                    member.update.entry = entry;
+                }
+            }
+            None => state.members.insert(listed_member(entry, state.now)),
+        }
+    }
+    let now = state.now;
+    state.members.retain(|_, member| {
+        let unheard = member.update.incarnation.0 == 0;
+        let dead = member.update.state == peer::MemberState::Dead;
+        let old = now.since(member.changed_at) > FORGET_SPAN;
+        member.listed || !(unheard || (dead && old))
+    });
+}
+
+fn listed_member(entry: peer::HostEntry, now: time::MonoTime) -> member::MemberEntry {
+    let update = peer::MemberUpdate {
+        entry,
+        incarnation: ids::NodeIncarnation(0),
+        revision: 0,
+        state: peer::MemberState::Alive,
+    };
+    member::MemberEntry {
+        update,
+        changed_at: now,
+        gossip_left: 0,
+        listed: true,
+    }
+}
+
+/// Any message proves that its sender lives.
+pub(crate) fn on_heard(state: &mut state::NodeState, envelope: &peer::PeerEnvelope) {
+    state.config.heard_at = state.now;
+    let Some(member) = state.members.get(&envelope.from) else {
+        return;
+    };
+    let known = &member.update;
+    let newer = envelope.incarnation > known.incarnation;
+    let revived = envelope.incarnation == known.incarnation
+        && matches!(
+            known.state,
+            peer::MemberState::Suspect | peer::MemberState::Dead
+        );
+    if !newer && !revived {
+        return;
+    }
+    let mut update = known.clone();
+    update.state = peer::MemberState::Alive;
+    if newer {
+        update.incarnation = envelope.incarnation;
+        update.revision = 0;
+    }
+    set_update(state, update);
+}
+
+/// Answers a probe.
+pub(crate) fn on_probe(
+    state: &mut state::NodeState,
+    envelope: &peer::PeerEnvelope,
+    number: u64,
+    updates: Vec<peer::MemberUpdate>,
+) {
+    let stranger = state.members.get(&envelope.from).is_none();
+    learn(state, updates);
+    let updates = if stranger {
+        introduce(state)
+    } else {
+        gather(state, UPDATES_PER_MESSAGE)
+    };
+    let version = state.config.version;
+    let reply = peer::PeerMessage::ProbeReply {
+        number,
+        version,
+        updates,
+    };
+    state.send_to(envelope.reply_to, reply);
+}
+
+/// Members named to a daemon that knows nobody.
+fn introduce(state: &mut state::NodeState) -> Vec<peer::MemberUpdate> {
+    let known = state
+        .members
+        .usable()
+        .map(|entry| entry.update.clone())
+        .collect::<Vec<_>>();
+    let mut updates = known
+        .choose_multiple(&mut state.rng, UPDATES_FOR_STRANGER)
+        .cloned()
+        .collect::<Vec<_>>();
+    updates.push(own_update(state));
+    updates
+}
+
+/// Takes the answer to a probe.
+pub(crate) fn on_probe_reply(
+    state: &mut state::NodeState,
+    number: u64,
+    updates: Vec<peer::MemberUpdate>,
+) {
+    learn(state, updates);
+    let Some(pending) = state.probes.pending.remove(&number) else {
+        return;
+    };
+    let Some(relay) = pending.relay_for else {
+        return;
+    };
+    let news = state
+        .members
+        .get(&pending.target)
+        .map(|entry| entry.update.clone());
+    let version = state.config.version;
+    let updates = news.into_iter().collect();
+    let reply = peer::PeerMessage::ProbeReply {
+        number: relay.number,
+        version,
+        updates,
+    };
+    state.send(&relay.asker, reply);
+}
+
+/// Probes a member on another daemon's behalf.
+pub(crate) fn on_probe_for(
+    state: &mut state::NodeState,
+    asker: &ids::HostId,
+    number: u64,
+    target: peer::HostEntry,
+) {
+    if target.host == *state.host() {
+        return;
+    }
+    if state.members.get(&target.host).is_none() {
+        let member = listed_member(target.clone(), state.now);
+        state.members.insert(member);
+    }
+    let relay = state::RelayedProbe {
+        asker: asker.clone(),
+        number,
+    };
+    probe(state, &target.host, Some(relay));
+}
+
+fn learn(state: &mut state::NodeState, updates: Vec<peer::MemberUpdate>) {
+    for update in updates {
+        if update.entry.host == *state.host() {
+            refute(state, &update);
+        } else if is_news(state, &update) {
+            set_update(state, update);
+        }
+    }
+}
+
+fn refute(state: &mut state::NodeState, update: &peer::MemberUpdate) {
+    let doubted = matches!(
+        update.state,
+        peer::MemberState::Suspect | peer::MemberState::Dead
+    );
+    if doubted
+        && update.incarnation == state.incarnation
+        && update.revision >= state.probes.revision
+    {
+        state.probes.revision = update.revision;
+        announce(state);
+    }
+}
+
+fn is_news(state: &state::NodeState, update: &peer::MemberUpdate) -> bool {
+    let Some(member) = state.members.get(&update.entry.host) else {
+        return update.state != peer::MemberState::Dead;
+    };
+    let known = &member.update;
+    let known_rank = (known.incarnation, known.revision, known.state);
+    (update.incarnation, update.revision, update.state) > known_rank
+}
+
+fn set_update(state: &mut state::NodeState, update: peer::MemberUpdate) {
+    let host = update.entry.host.clone();
+    let now = state.now;
+    let note = action::NodeNote::MemberChanged {
+        host: host.clone(),
+        state: update.state,
+    };
+    let changed = match state.members.get_mut(&host) {
+        Some(member) => {
+            let changed = member.update.state != update.state
+                || member.update.incarnation != update.incarnation;
+            member.update = update;
+            member.gossip_left = GOSSIP_COPIES;
+            if changed {
+                member.changed_at = now;
+            }
+            changed
+        }
+        None => {
+            let member = member::MemberEntry {
+                update,
+                changed_at: now,
+                gossip_left: GOSSIP_COPIES,
+                listed: false,
+            };
+            state.members.insert(member);
+            true
+        }
+    };
+    if changed {
+        state.members.touch();
+        state.note(note);
+    }
+}
+
+fn expire_probes(state: &mut state::NodeState) {
+    let now = state.now;
+    let late = state.probes.pending.iter().filter(|(_, probe)| {
+        let age = now.since(probe.sent_at);
+        age > PROBE_LIMIT || (age > PROBE_TIMEOUT && !probe.relayed)
+    });
+    let late = late.map(|(number, _)| *number).collect::<Vec<_>>();
+    for number in late {
+        let Some(probe) = state.probes.pending.get_mut(&number) else {
+            continue;
+        };
+        let failed = now.since(probe.sent_at) > PROBE_LIMIT;
+        probe.relayed = true;
+        let target = probe.target.clone();
+        let own = probe.relay_for.is_none();
+        if failed {
+            state.probes.pending.remove(&number);
+            if own {
+                suspect(state, &target);
+            }
+        } else {
+            relay_probe(state, &target, number);
+        }
+    }
+}
+
+fn relay_probe(state: &mut state::NodeState, target: &ids::HostId, number: u64) {
+    let Some(member) = state.members.get(target) else {
+        return;
+    };
+    let entry = member.update.entry.clone();
+    let others = state
+        .members
+        .usable()
+        .map(|other| other.update.entry.host.clone());
+    let others = others.filter(|host| host != target).collect::<Vec<_>>();
+    let chosen = others
+        .choose_multiple(&mut state.rng, PROBE_RELAYS)
+        .cloned()
+        .collect::<Vec<_>>();
+    for relay in chosen {
+        state.send(
+            &relay,
+            peer::PeerMessage::ProbeFor {
+                number,
+                target: entry.clone(),
+            },
+        );
+    }
+}
+
+fn suspect(state: &mut state::NodeState, host: &ids::HostId) {
+    let Some(member) = state.members.get(host) else {
+        return;
+    };
+    if !matches!(
+        member.update.state,
+        peer::MemberState::Alive | peer::MemberState::Leaving
+    ) {
+        return;
+    }
+    if member.update.incarnation.0 == 0 {
+        return;
+    }
+    let mut update = member.update.clone();
+    update.state = match update.state {
+        peer::MemberState::Leaving => peer::MemberState::Dead,
+        _ => peer::MemberState::Suspect,
+    };
+    set_update(state, update);
+}
+
+fn expire_suspects(state: &mut state::NodeState) {
+    let now = state.now;
+    let overdue = state.members.iter().filter(|member| {
+        member.update.state == peer::MemberState::Suspect
+            && now.since(member.changed_at) > SUSPECT_SPAN
+    });
+    let updates = overdue
+        .map(|member| member.update.clone())
+        .collect::<Vec<_>>();
+    for mut update in updates {
+        update.state = peer::MemberState::Dead;
+        set_update(state, update);
+    }
+}
--- /dev/null
+++ b/crates/node/src/systems/mod.rs
@@ -0,0 +1,11 @@
+//! One small system per concern, run in a fixed order each tick.
+
+pub(crate) mod admission;
+pub(crate) mod claims;
+pub(crate) mod config;
+pub(crate) mod drain;
+pub(crate) mod grants;
+pub(crate) mod membership;
+pub(crate) mod placement;
+pub(crate) mod reclaim;
+pub(crate) mod retry;
--- /dev/null
+++ b/crates/node/src/systems/placement.rs
@@ -0,0 +1,294 @@
+//! Which endpoint serves a request.
+
+use std::time::Duration;
+
+use model::config;
+use model::ids;
+use model::outcome;
+use model::peer;
+use model::time;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::action;
+use crate::state;
+use crate::systems;
+use crate::systems::admission;
+use crate::systems::grants;
+use crate::tables::endpoint;
+use crate::tables::request;
+
+/// Time that a keeper has to answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Shortest rest of a request that found no room.
+const REST_MIN_MS: u64 = 20;
+/// Longest rest of a request that found no room.
+const REST_MAX_MS: u64 = 60;
+/// Rest of an endpoint whose keeper did not answer or that could not be reached.
+const ENDPOINT_REST: Duration = Duration::from_millis(500);
+/// Endpoints compared for one choice.
+const CHOICES: usize = 2;
+/// One part in this many of the time allowed may be spent waiting for room.
+const WAIT_DIVISOR: u32 = 2;
+/// Age at which a view of an endpoint counts for nothing.
+const VIEW_SPAN: Duration = Duration::from_secs(1);
+
+/// Asks again for requests that waited, and gives up those without hope.
+pub(crate) fn tick(state: &mut state::NodeState) {
+    let now = state.now;
+    let mut due = Vec::new();
+    let mut late = Vec::new();
+    for (id, entry) in &state.requests.requests {
+        match &entry.phase {
+            request::RequestPhase::Waiting { until } if *until <= now => due.push(*id),
+            request::RequestPhase::Asking(pending) if now.since(pending.asked_at) > ASK_TIMEOUT => {
+                late.push((*id, pending.clone()));
+            }
+            _ => {}
+        }
+    }
+    for (id, pending) in late {
+        give_back(state, &pending, peer::GrantUsage::Unused);
+        rest(state, &pending.endpoint);
+        place(state, id);
+    }
+    for id in due {
+        place(state, id);
+    }
+}
+
+/// Asks the keeper of the best endpoint for room; without one, lets the request wait.
+pub(crate) fn place(state: &mut state::NodeState, id: ids::RequestId) {
+    let Some(choice) = choose(state, id) else {
+        wait(state, id);
+        return;
+    };
+    let now = state.now;
+    let Some(entry) = state.requests.get_mut(&id) else {
+        return;
+    };
+    entry.attempts += 1;
+    let attempt = ids::AttemptId {
+        request: id,
+        number: entry.attempts,
+    };
+    let pending = request::PendingGrant {
+        attempt,
+        endpoint: choice.endpoint.clone(),
+        keeper: choice.keeper.clone(),
+        asked_at: now,
+    };
+    entry.phase = request::RequestPhase::Asking(pending);
+    let ask = peer::PeerMessage::GrantAsk {
+        endpoint: choice.endpoint,
+        attempt,
+        class: entry.head.class(),
+        tokens: entry.head.memory_tokens(),
+    };
+    state.send(&choice.keeper, ask);
+}
+
+/// An endpoint with its keeper.
+struct EndpointChoice {
+    endpoint: ids::EndpointId,
+    keeper: ids::HostId,
+}
+
+fn choose(state: &mut state::NodeState, id: ids::RequestId) -> Option<EndpointChoice> {
+    let config = state.config.config.clone()?;
+    if !systems::config::is_trusted(state) {
+        return None;
+    }
+    let entry = state.requests.get(&id)?;
+    let service = entry.head.service.clone();
+    let tried = &entry.tried;
+    let now = state.now;
+    let open = config.endpoints.iter().filter(|(name, endpoint)| {
+        let resting = state
+            .endpoints
+            .get(name)
+            .is_some_and(|view| view.rest_until > now);
+        endpoint.service == service
+            && !resting
+            && !tried.contains(name)
+            && state.takes_work(name, endpoint)
+    });
+    let open = open.map(|(name, _)| name.clone()).collect::<Vec<_>>();
+    let endpoint = match config.policy.placement {
+        config::PlacementPolicy::RoundRobin => next_turn(state, &service, &open)?,
+        config::PlacementPolicy::LeastLoaded => freest(state, &open)?,
+        config::PlacementPolicy::SizeAware => {
+            let some = open
+                .choose_multiple(&mut state.rng, CHOICES)
+                .cloned()
+                .collect::<Vec<_>>();
+            freest(state, &some)?
+        }
+    };
+    let keeper = state.keeper_of(&endpoint, config.endpoints.get(&endpoint)?)?;
+    Some(EndpointChoice { endpoint, keeper })
+}
+
+fn next_turn(
+    state: &mut state::NodeState,
+    service: &ids::ServiceId,
+    open: &[ids::EndpointId],
+) -> Option<ids::EndpointId> {
+    if open.is_empty() {
+        return None;
+    }
+    let turn = state.endpoints.turns.entry(service.clone()).or_default();
+    *turn = turn.wrapping_add(1);
+    Some(open[*turn % open.len()].clone())
+}
+
+fn freest(state: &state::NodeState, open: &[ids::EndpointId]) -> Option<ids::EndpointId> {
+    let now = state.now;
+    open.iter()
+        .max_by_key(|name| free_slots(state.endpoints.get(name), now))
+        .cloned()
+}
+
+fn free_slots(view: Option<&endpoint::EndpointView>, now: time::MonoTime) -> i64 {
+    match view {
+        Some(view) if now.since(view.seen_at) < VIEW_SPAN => i64::from(view.free_slots),
+        Some(view) => 1 - i64::from(view.in_flight),
+        None => 1,
+    }
+}
+
+fn wait(state: &mut state::NodeState, id: ids::RequestId) {
+    let pause = Duration::from_millis(state.rng.random_range(REST_MIN_MS..=REST_MAX_MS));
+    let now = state.now;
+    let Some(entry) = state.requests.get_mut(&id) else {
+        return;
+    };
+    entry.tried.clear();
+    let allowed = entry.head.deadline.since(entry.arrived_at) / WAIT_DIVISOR;
+    if now.since(entry.arrived_at) + pause < allowed {
+        entry.phase = request::RequestPhase::Waiting { until: now + pause };
+        return;
+    }
+    let reason = outcome::RefusalReason::Overloaded;
+    systems::retry::give_up(state, id, reason, Some(admission::RETRY_SOON));
+}
+
+/// Takes a keeper's answer.
+pub(crate) fn on_grant(
+    state: &mut state::NodeState,
+    from: &ids::HostId,
+    id: &ids::EndpointId,
+    attempt: ids::AttemptId,
+    verdict: peer::GrantVerdict,
+    free_slots: u32,
+) {
+    let now = state.now;
+    let view = state.endpoints.view(id);
+    view.free_slots = free_slots;
+    view.seen_at = now;
+    let Some(pending) = pending_grant(state, attempt) else {
+        if verdict == peer::GrantVerdict::Granted {
+            let usage = peer::GrantUsage::Unused;
+            state.send(
+                from,
+                peer::PeerMessage::GrantReturn {
+                    endpoint: id.clone(),
+                    attempt,
+                    usage,
+                },
+            );
+        }
+        return;
+    };
+    match verdict {
+        peer::GrantVerdict::Granted => start(state, pending),
+        peer::GrantVerdict::Full => try_next(state, &pending),
+        peer::GrantVerdict::NotKeeper => {
+            rest(state, id);
+            try_next(state, &pending);
+        }
+    }
+}
+
+fn pending_grant(
+    state: &state::NodeState,
+    attempt: ids::AttemptId,
+) -> Option<request::PendingGrant> {
+    let entry = state.requests.get(&attempt.request)?;
+    match &entry.phase {
+        request::RequestPhase::Asking(pending) if pending.attempt == attempt => {
+            Some(pending.clone())
+        }
+        _ => None,
+    }
+}
+
+fn try_next(state: &mut state::NodeState, pending: &request::PendingGrant) {
+    let id = pending.attempt.request;
+    if let Some(entry) = state.requests.get_mut(&id) {
+        entry.tried.push(pending.endpoint.clone());
+    }
+    place(state, id);
+}
+
+fn start(state: &mut state::NodeState, pending: request::PendingGrant) {
+    let now = state.now;
+    let not_after = pending.asked_at + grants::GRANT_SPAN;
+    let config = state.config.config.clone();
+    let target = config
+        .as_ref()
+        .and_then(|config| config.endpoints.get(&pending.endpoint));
+    let Some(target) =
+        target.filter(|target| now < not_after && state.takes_work(&pending.endpoint, target))
+    else {
+        give_back(state, &pending, peer::GrantUsage::Unused);
+        try_next(state, &pending);
+        return;
+    };
+    let Some(entry) = state.requests.get_mut(&pending.attempt.request) else {
+        return;
+    };
+    entry.sent = true;
+    entry.started += 1;
+    entry.phase = request::RequestPhase::Running(request::RunningAttempt {
+        attempt: pending.attempt,
+        endpoint: pending.endpoint.clone(),
+        keeper: pending.keeper,
+        progressed_at: now,
+    });
+    let order = action::AttemptOrder {
+        attempt: pending.attempt,
+        endpoint: pending.endpoint.clone(),
+        address: target.address,
+        resume_offset: entry.delivered,
+        not_after,
+        priority: endpoint::priority(entry.head.class()),
+    };
+    state.endpoints.view(&pending.endpoint).in_flight += 1;
+    state.stats.attempts += 1;
+    state.act(action::NodeAction::StartAttempt(order));
+}
+
+/// Returns a grant to its keeper.
+pub(crate) fn give_back(
+    state: &mut state::NodeState,
+    pending: &request::PendingGrant,
+    usage: peer::GrantUsage,
+) {
+    let endpoint = pending.endpoint.clone();
+    let attempt = pending.attempt;
+    state.send(
+        &pending.keeper,
+        peer::PeerMessage::GrantReturn {
+            endpoint,
+            attempt,
+            usage,
+        },
+    );
+}
+
+/// Leaves an endpoint alone for a while.
+pub(crate) fn rest(state: &mut state::NodeState, id: &ids::EndpointId) {
+    let until = state.now + ENDPOINT_REST;
+    state.endpoints.view(id).rest_until = until;
+}
--- /dev/null
+++ b/crates/node/src/systems/retry.rs
@@ -0,0 +1,426 @@
+//! How attempts end, and whether another may follow.
+//!
+//! Nothing sent: another endpoint. Idempotent: another endpoint from the piece after the last
+//! one delivered, within the deadline and the retry budget. Anything else is not sent again.
+
+use std::time::Duration;
+
+use model::ids;
+use model::outcome;
+use model::peer;
+use model::request as head;
+
+use crate::action;
+use crate::state;
+use crate::systems;
+use crate::systems::admission;
+use crate::tables::request;
+
+/// Most retries saved up.
+pub(crate) const BUDGET_CAP: f64 = 50.0;
+/// Retries earned by each request that is answered.
+const BUDGET_EARNED: f64 = 0.2;
+/// Time without a byte of the protocol after which an endpoint's connection is given up.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Most attempts sent for one request.
+const MOST_SENT: u32 = 6;
+
+/// Ends requests past their deadline, and attempts that went silent.
+pub(crate) fn tick(state: &mut state::NodeState) {
+    let now = state.now;
+    let mut late = Vec::new();
+    let mut silent = Vec::new();
+    for (id, entry) in &state.requests.requests {
+        if entry.head.deadline <= now {
+            late.push(*id);
+            continue;
+        }
+        if let request::RequestPhase::Running(running) = &entry.phase
+            && entry.head.may_repeat()
+            && now.since(running.progressed_at) > SILENCE_LIMIT
+        {
+            silent.push(running.attempt);
+        }
+    }
+    for id in late {
+        let reason = outcome::RefusalReason::DeadlineTooClose;
+        give_up(state, id, reason, Some(admission::RETRY_SOON));
+    }
+    for attempt in silent {
+        state.act(action::NodeAction::DropAttempt { attempt });
+        on_ended(state, attempt, outcome::AttemptEnd::Broken);
+    }
+}
+
+/// Bytes of the protocol came for an attempt.
+pub(crate) fn on_progress(state: &mut state::NodeState, attempt: ids::AttemptId) {
+    let now = state.now;
+    if let Some(entry) = state.requests.running(&attempt)
+        && let request::RequestPhase::Running(running) = &mut entry.phase
+    {
+        running.progressed_at = now;
+    }
+}
+
+/// Forwards a piece of an answer if it is the next one of the attempt that runs.
+pub(crate) fn on_chunk(
+    state: &mut state::NodeState,
+    attempt: ids::AttemptId,
+    named: ids::AttemptId,
+    offset: u64,
+) {
+    if named != attempt {
+        state.stats.chunks_dropped += 1;
+        return;
+    }
+    let Some(entry) = state.requests.running(&attempt) else {
+        state.stats.chunks_dropped += 1;
+        return;
+    };
+    if offset < entry.delivered {
+        state.stats.chunks_dropped += 1;
+        return;
+    }
+    if offset > entry.delivered {
+        state.stats.chunks_dropped += 1;
+        state.act(action::NodeAction::DropAttempt { attempt });
+        on_ended(state, attempt, outcome::AttemptEnd::Broken);
+        return;
+    }
+    entry.delivered += 1;
+    let request = entry.head.id;
+    on_progress(state, attempt);
+    state.act(action::NodeAction::ForwardChunk { request });
+}
+
+/// Takes the end of an attempt.
+pub(crate) fn on_ended(
+    state: &mut state::NodeState,
+    attempt: ids::AttemptId,
+    end: outcome::AttemptEnd,
+) {
+    let Some(entry) = state.requests.running(&attempt) else {
+        return;
+    };
+    let request::RequestPhase::Running(running) = entry.phase.clone() else {
+        return;
+    };
+    let id = entry.head.id;
+    let view = state.endpoints.view(&running.endpoint);
+    view.in_flight = view.in_flight.saturating_sub(1);
+    match end {
+        outcome::AttemptEnd::Complete { answer } => complete(state, id, &running, answer),
+        outcome::AttemptEnd::NotSent => {
+            return_grant(state, &running, peer::GrantUsage::Unused);
+            go_on(
+                state,
+                id,
+                &running.endpoint,
+                outcome::RefusalReason::Unreachable,
+            );
+        }
+        outcome::AttemptEnd::Refused => {
+            return_grant(state, &running, peer::GrantUsage::Failed);
+            mark_sent(state, id);
+            go_on(
+                state,
+                id,
+                &running.endpoint,
+                outcome::RefusalReason::Overloaded,
+            );
+        }
+        outcome::AttemptEnd::Broken => {
+            return_grant(state, &running, peer::GrantUsage::Failed);
+            note_lost(state, &running);
+            mark_sent(state, id);
+            break_off(state, id, &running);
+        }
+    }
+}
+
+fn mark_sent(state: &mut state::NodeState, id: ids::RequestId) {
+    if let Some(entry) = state.requests.get_mut(&id) {
+        entry.sent_before = true;
+    }
+}
+
+fn note_lost(state: &mut state::NodeState, running: &request::RunningAttempt) {
+    let note = action::NodeNote::AttemptLost {
+        attempt: running.attempt,
+        endpoint: running.endpoint.clone(),
+    };
+    state.note(note);
+}
+
+fn complete(
+    state: &mut state::NodeState,
+    id: ids::RequestId,
+    running: &request::RunningAttempt,
+    answer: Option<outcome::RecordedAnswer>,
+) {
+    return_grant(state, running, peer::GrantUsage::Finished);
+    state.retry_tokens = (state.retry_tokens + BUDGET_EARNED).min(BUDGET_CAP);
+    let answer = answer.unwrap_or(outcome::RecordedAnswer {
+        status: 200,
+        body: None,
+    });
+    settle(state, id, peer::ClaimSettlement::Answered(answer));
+    finish(state, id, outcome::RequestOutcome::Answered);
+}
+
+/// Goes on elsewhere after an attempt that will not be answered.
+fn go_on(
+    state: &mut state::NodeState,
+    id: ids::RequestId,
+    endpoint: &ids::EndpointId,
+    refusal: outcome::RefusalReason,
+) {
+    systems::placement::rest(state, endpoint);
+    let Some(entry) = state.requests.get_mut(&id) else {
+        return;
+    };
+    entry.tried.push(endpoint.clone());
+    entry.sent = entry.sent_before;
+    entry.phase = request::RequestPhase::Waiting { until: state.now };
+    if entry.started >= MOST_SENT {
+        give_up(state, id, refusal, Some(admission::RETRY_SOON));
+        return;
+    }
+    state.stats.retries += 1;
+    systems::placement::place(state, id);
+}
+
+/// Goes on after an attempt that may have run, if that is safe and the budget allows it.
+fn break_off(state: &mut state::NodeState, id: ids::RequestId, running: &request::RunningAttempt) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    let repeatable = entry.head.may_repeat();
+    let prompt = matches!(entry.head.kind, head::RequestKind::Prompt { .. });
+    if prompt {
+        systems::reclaim::cancel(state, running.attempt, &running.endpoint);
+    }
+    if !repeatable {
+        settle(state, id, peer::ClaimSettlement::Unknown);
+        let reason = outcome::FailureReason::EndpointLost;
+        finish(
+            state,
+            id,
+            outcome::RequestOutcome::Unknown {
+                reason,
+                retry_after: None,
+            },
+        );
+        return;
+    }
+    if state.retry_tokens < 1.0 {
+        fail(state, id, outcome::FailureReason::EndpointLost);
+        return;
+    }
+    state.retry_tokens -= 1.0;
+    go_on(
+        state,
+        id,
+        &running.endpoint,
+        outcome::RefusalReason::Unreachable,
+    );
+}
+
+fn return_grant(
+    state: &mut state::NodeState,
+    running: &request::RunningAttempt,
+    usage: peer::GrantUsage,
+) {
+    let endpoint = running.endpoint.clone();
+    let attempt = running.attempt;
+    state.send(
+        &running.keeper,
+        peer::PeerMessage::GrantReturn {
+            endpoint,
+            attempt,
+            usage,
+        },
+    );
+}
+
+/// Ends a request whose caller went away.
+pub(crate) fn on_caller_gone(state: &mut state::NodeState, id: ids::RequestId) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    let detached = !entry.head.may_repeat() && entry.sent;
+    if detached {
+        // The call runs on, so that its claim can be settled.
+        return;
+    }
+    stop_running(state, id);
+    settle_unsent(state, id);
+    let outcome = if was_sent(state, id) {
+        let reason = outcome::FailureReason::CallerGone;
+        outcome::RequestOutcome::Failed {
+            reason,
+            retry_after: None,
+        }
+    } else {
+        admission::not_run(outcome::RefusalReason::CallerGone, None)
+    };
+    finish(state, id, outcome);
+}
+
+/// Ends a request for which no plan is left, with its true outcome.
+pub(crate) fn give_up(
+    state: &mut state::NodeState,
+    id: ids::RequestId,
+    reason: outcome::RefusalReason,
+    retry_after: Option<Duration>,
+) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    if entry.sent {
+        let past = entry.head.deadline <= state.now;
+        let lost = outcome::FailureReason::EndpointLost;
+        let reason = if past {
+            outcome::FailureReason::DeadlinePassed
+        } else {
+            lost
+        };
+        fail(state, id, reason);
+        return;
+    }
+    stop_running(state, id);
+    settle_unsent(state, id);
+    finish(state, id, admission::not_run(reason, retry_after));
+}
+
+fn fail(state: &mut state::NodeState, id: ids::RequestId, reason: outcome::FailureReason) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    let repeatable = entry.head.may_repeat();
+    stop_running(state, id);
+    if repeatable {
+        let retry_after = Some(admission::RETRY_SOON);
+        finish(
+            state,
+            id,
+            outcome::RequestOutcome::Failed {
+                reason,
+                retry_after,
+            },
+        );
+        return;
+    }
+    settle(state, id, peer::ClaimSettlement::Unknown);
+    finish(
+        state,
+        id,
+        outcome::RequestOutcome::Unknown {
+            reason,
+            retry_after: None,
+        },
+    );
+}
+
+/// Drops whatever runs or is asked for on behalf of a request.
+fn stop_running(state: &mut state::NodeState, id: ids::RequestId) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    let prompt = matches!(entry.head.kind, head::RequestKind::Prompt { .. });
+    match entry.phase.clone() {
+        request::RequestPhase::Asking(pending) => {
+            systems::placement::give_back(state, &pending, peer::GrantUsage::Unused);
+        }
+        request::RequestPhase::Running(running) => {
+            let view = state.endpoints.view(&running.endpoint);
+            view.in_flight = view.in_flight.saturating_sub(1);
+            state.act(action::NodeAction::DropAttempt {
+                attempt: running.attempt,
+            });
+            return_grant(state, &running, peer::GrantUsage::Unused);
+            if prompt {
+                systems::reclaim::cancel(state, running.attempt, &running.endpoint);
+            }
+        }
+        request::RequestPhase::Claiming { .. } | request::RequestPhase::Waiting { .. } => {}
+    }
+}
+
+fn was_sent(state: &state::NodeState, id: ids::RequestId) -> bool {
+    state.requests.get(&id).is_some_and(|entry| entry.sent)
+}
+
+fn settle_unsent(state: &mut state::NodeState, id: ids::RequestId) {
+    if !was_sent(state, id) {
+        settle(state, id, peer::ClaimSettlement::NotSent);
+    }
+}
+
+fn settle(state: &mut state::NodeState, id: ids::RequestId, settlement: peer::ClaimSettlement) {
+    let Some(entry) = state.requests.get(&id) else {
+        return;
+    };
+    if let Some(key) = entry.head.claim().cloned() {
+        systems::claims::settle(state, key, id, settlement);
+    }
+}
+
+/// Ends all requests after the process was away.
+pub(crate) fn abandon_all(state: &mut state::NodeState) {
+    let all = state.requests.requests.keys().copied().collect::<Vec<_>>();
+    for id in all {
+        if was_sent(state, id) {
+            fail(state, id, outcome::FailureReason::DaemonPaused);
+        } else {
+            give_up(
+                state,
+                id,
+                outcome::RefusalReason::NotReady,
+                Some(admission::RETRY_SOON),
+            );
+        }
+    }
+}
+
+/// Gives a caller its final answer and forgets the request.
+pub(crate) fn finish(
+    state: &mut state::NodeState,
+    id: ids::RequestId,
+    outcome: outcome::RequestOutcome,
+) {
+    let Some(entry) = state.requests.remove(&id) else {
+        return;
+    };
+    finish_unknown(state, &entry.head, outcome);
+}
+
+/// Gives the final answer to a request that is not in the table.
+pub(crate) fn finish_unknown(
+    state: &mut state::NodeState,
+    head: &head::RequestHead,
+    outcome: outcome::RequestOutcome,
+) {
+    count(state, &outcome);
+    state.act(action::NodeAction::FinishRequest {
+        request: head.id,
+        outcome,
+    });
+}
+
+fn count(state: &mut state::NodeState, outcome: &outcome::RequestOutcome) {
+    let stats = &mut state.stats;
+    match outcome {
+        outcome::RequestOutcome::Answered => stats.answered += 1,
+        outcome::RequestOutcome::Replayed { .. } => stats.replayed += 1,
+        outcome::RequestOutcome::NotRun { reason, .. } => {
+            *stats.refused.entry(*reason).or_default() += 1
+        }
+        outcome::RequestOutcome::Failed { reason, .. } => {
+            *stats.failed.entry(*reason).or_default() += 1
+        }
+        outcome::RequestOutcome::Unknown { reason, .. } => {
+            *stats.unknown.entry(*reason).or_default() += 1
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables/mod.rs
@@ -0,0 +1,7 @@
+//! Tables of entities.
+
+pub(crate) mod claim;
+pub(crate) mod endpoint;
+pub(crate) mod ledger;
+pub(crate) mod member;
+pub(crate) mod request;
--- /dev/null
+++ b/crates/node/src/tables/request.rs
@@ -0,0 +1,121 @@
+//! Requests in flight at this daemon.
+
+use std::collections;
+
+use model::ids;
+use model::request;
+use model::time;
+
+/// One request in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestEntry {
+    pub head: request::RequestHead,
+    pub arrived_at: time::MonoTime,
+    pub phase: RequestPhase,
+    /// Pieces of the answer handed to the caller.
+    pub delivered: u64,
+    /// Number of the last attempt asked for.
+    pub attempts: u32,
+    /// Attempts that were started.
+    pub started: u32,
+    /// Whether bytes of the request may have reached an endpoint.
+    pub sent: bool,
+    /// The same for the attempts before the one that runs.
+    pub sent_before: bool,
+    /// Whether a claim is recorded for it.
+    pub claimed: bool,
+    /// Endpoints that had no room since the last rest.
+    pub tried: Vec<ids::EndpointId>,
+}
+
+/// Where a request stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum RequestPhase {
+    /// Waits for its claim to be recorded.
+    Claiming {
+        owner: ids::HostId,
+        asked_at: time::MonoTime,
+        tries: usize,
+    },
+    /// Waits for room; asks again at the given time.
+    Waiting { until: time::MonoTime },
+    /// Asked a keeper for a grant.
+    Asking(PendingGrant),
+    /// Was sent to an endpoint.
+    Running(RunningAttempt),
+}
+
+/// A grant asked for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct PendingGrant {
+    pub attempt: ids::AttemptId,
+    pub endpoint: ids::EndpointId,
+    pub keeper: ids::HostId,
+    pub asked_at: time::MonoTime,
+}
+
+/// An attempt in flight.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct RunningAttempt {
+    pub attempt: ids::AttemptId,
+    pub endpoint: ids::EndpointId,
+    pub keeper: ids::HostId,
+    pub progressed_at: time::MonoTime,
+}
+
+/// All requests in flight.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestTable {
+    pub requests: collections::BTreeMap<ids::RequestId, RequestEntry>,
+    pub by_customer: collections::BTreeMap<ids::CustomerId, u32>,
+}
+
+impl RequestTable {
+    pub fn get(&self, request: &ids::RequestId) -> Option<&RequestEntry> {
+        self.requests.get(request)
+    }
+
+    pub fn get_mut(&mut self, request: &ids::RequestId) -> Option<&mut RequestEntry> {
+        self.requests.get_mut(request)
+    }
+
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    pub fn of_customer(&self, customer: &ids::CustomerId) -> u32 {
+        self.by_customer.get(customer).copied().unwrap_or(0)
+    }
+
+    pub fn insert(&mut self, entry: RequestEntry) {
+        *self
+            .by_customer
+            .entry(entry.head.customer.clone())
+            .or_default() += 1;
+        self.requests.insert(entry.head.id, entry);
+    }
+
+    pub fn remove(&mut self, request: &ids::RequestId) -> Option<RequestEntry> {
+        let entry = self.requests.remove(request)?;
+        if let Some(count) = self.by_customer.get_mut(&entry.head.customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_customer.remove(&entry.head.customer);
+            }
+        }
+        Some(entry)
+    }
+
+    /// The request whose running attempt this is.
+    pub fn running(&mut self, attempt: &ids::AttemptId) -> Option<&mut RequestEntry> {
+        let entry = self.requests.get_mut(&attempt.request)?;
+        match &entry.phase {
+            RequestPhase::Running(running) if running.attempt == *attempt => Some(entry),
+            _ => None,
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Messages between daemons over jsonrpsee.
+//!
+//! Messages are one way and may be lost; the state machine repeats what matters. One
+//! connection carries the messages to one peer, several in a call when they queue up. A call
+//! without a reply in time closes its connection, so that a silent one is soon replaced.
+
+pub mod links;
+pub mod server;
+pub mod traffic;
--- /dev/null
+++ b/crates/peer/src/links.rs
@@ -0,0 +1,128 @@
+//! Sends messages to other daemons.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::params;
+use jsonrpsee::ws_client;
+use model::map;
+use model::peer;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::server;
+use crate::traffic;
+
+/// Messages that wait for one peer; more are dropped.
+const QUEUE_MESSAGES: usize = 1_024;
+/// Messages in one call.
+const BATCH_MESSAGES: usize = 64;
+/// Longest wait for a connection or a reply.
+const REPLY_LIMIT: Duration = Duration::from_millis(750);
+/// Time after which an unused link is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// Bytes of a call around its parameters.
+const CALL_OVERHEAD_BYTES: usize = 64;
+
+/// Links to all peers spoken to of late.
+#[derive(Debug)]
+pub struct PeerLinks {
+    links: map::HashMap<net::SocketAddr, mpsc::Sender<peer::PeerEnvelope>>,
+    traffic: sync::Arc<traffic::PeerTraffic>,
+}
+
+impl PeerLinks {
+    /// Makes links that count into `traffic`. Connects when first used.
+    pub fn new(traffic: sync::Arc<traffic::PeerTraffic>) -> Self {
+        Self {
+            links: map::HashMap::default(),
+            traffic,
+        }
+    }
+
+    /// Queues a message. It is dropped if too many wait already.
+    pub fn send(&mut self, to: net::SocketAddr, envelope: peer::PeerEnvelope) {
+        let Err(error) = self.link(to).try_send(envelope) else {
+            return;
+        };
+        match error {
+            mpsc::error::TrySendError::Full(_) => {
+                traffic::PeerTraffic::add(&self.traffic.dropped, 1);
+            }
+            mpsc::error::TrySendError::Closed(envelope) => {
+                self.links.remove(&to);
+                // A fresh link has room.
+                let _ = self.link(to).try_send(envelope);
+            }
+        }
+    }
+
+    fn link(&mut self, to: net::SocketAddr) -> &mpsc::Sender<peer::PeerEnvelope> {
+        let traffic = &self.traffic;
+        self.links.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
+            tokio::spawn(run(to, receiver, traffic.clone()));
+            sender
+        })
+    }
+}
+
+async fn run(
+    to: net::SocketAddr,
+    mut queue: mpsc::Receiver<peer::PeerEnvelope>,
+    traffic: sync::Arc<traffic::PeerTraffic>,
+) {
+    let mut client = None;
+    let mut batch = Vec::new();
+    loop {
+        let received = time::timeout(IDLE_LIMIT, queue.recv_many(&mut batch, BATCH_MESSAGES)).await;
+        if !matches!(received, Ok(count) if count > 0) {
+            return;
+        }
+        let count = batch.len();
+        if !deliver(to, &mut client, &batch, &traffic).await {
+            client = None;
+            traffic::PeerTraffic::add(&traffic.dropped, count);
+        }
+        batch.clear();
+    }
+}
+
+async fn deliver(
+    to: net::SocketAddr,
+    client: &mut Option<ws_client::WsClient>,
+    batch: &[peer::PeerEnvelope],
+    traffic: &traffic::PeerTraffic,
+) -> bool {
+    let Ok(text) = serde_json::to_string(&[batch]) else {
+        return false;
+    };
+    if client.as_ref().is_none_or(|client| !client.is_connected()) {
+        *client = dial(to).await;
+    }
+    let Some(client) = client else {
+        return false;
+    };
+    let bytes = text.len() + CALL_OVERHEAD_BYTES;
+    traffic
+        .sent_bytes
+        .fetch_add(bytes as u64, atomic::Ordering::Relaxed);
+    traffic::PeerTraffic::add(&traffic.sent_calls, 1);
+    let mut params = params::ArrayParams::new();
+    if params.insert(batch).is_err() {
+        return false;
+    }
+    let call = client.request::<bool, _>(server::DELIVER_METHOD, params);
+    matches!(time::timeout(REPLY_LIMIT, call).await, Ok(Ok(true)))
+}
+
+async fn dial(to: net::SocketAddr) -> Option<ws_client::WsClient> {
+    let client = ws_client::WsClientBuilder::default()
+        .connection_timeout(REPLY_LIMIT)
+        .request_timeout(REPLY_LIMIT)
+        .build(format!("ws://{to}"));
+    time::timeout(REPLY_LIMIT, client).await.ok()?.ok()
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Clients of the platform: the object API and the host list.
+
+pub mod client;
+pub mod wire;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Settings of one daemon, read from a YAML file.
+
+pub mod daemon;
+pub mod load;
