--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,27 @@
+//! Subcommands, one file each.
+
+mod demo;
+
+use crate::error;
+
+/// Operates sardinepaddle.
+#[derive(Clone, Debug, clap::Parser)]
+#[command(name = "sardinepaddle", version)]
+pub struct CliArgs {
+    #[command(subcommand)]
+    command: CliCommand,
+}
+
+#[derive(Clone, Debug, clap::Subcommand)]
+enum CliCommand {
+    Demo(demo::DemoArgs),
+}
+
+impl CliArgs {
+    /// Runs the subcommand.
+    pub fn run(self) -> error::Result<()> {
+        match self.command {
+            CliCommand::Demo(args) => args.run(),
+        }
+    }
+}
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -326,7 +326,12 @@
         }
         self.copied_version = version;
         let config = self.parts.machine.config();
-        *self.parts.shared.config.write().unwrap_or_else(sync::PoisonError::into_inner) = config;
+        *self
+            .parts
+            .shared
+            .config
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner) = config;
     }
 
     fn copy_status(&mut self) {
--- a/crates/node/src/systems/claims.rs
+++ b/crates/node/src/systems/claims.rs
@@ -23,6 +23,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Owners asked before a call is refused.
 const MOST_OWNERS: usize = 2;
+/// Time between two looks at a claim that another request holds.
+const TAKEN_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which an unrecorded claim waits for the object API.
 const RECORD_SPAN: Duration = Duration::from_millis(500);
 /// Time for which a settlement waits for the object API.
@@ -121,16 +123,10 @@
             systems::retry::finish(state, id, outcome::RequestOutcome::Replayed { answer });
         }
         peer::ClaimVerdict::Taken => {
-            let reason = outcome::FailureReason::EarlierCallRunning;
-            let retry_after = Some(admission::RETRY_SOON);
-            systems::retry::finish(
-                state,
-                id,
-                outcome::RequestOutcome::Unknown {
-                    reason,
-                    retry_after,
-                },
-            );
+            let until = state.now + TAKEN_PAUSE;
+            if let Some(entry) = state.requests.get_mut(&id) {
+                entry.phase = request::RequestPhase::ClaimTaken { until };
+            }
         }
         peer::ClaimVerdict::Unknown => {
             let reason = outcome::FailureReason::EarlierCallUnknown;
@@ -252,19 +248,20 @@
 
 fn ask_again(state: &mut state::NodeState) {
     let now = state.now;
-    let overdue = state
-        .requests
-        .requests
-        .iter()
-        .filter_map(|(id, entry)| match &entry.phase {
+    let mut due = Vec::new();
+    for (id, entry) in &state.requests.requests {
+        match &entry.phase {
             request::RequestPhase::Claiming {
                 asked_at, tries, ..
-            } if now.since(*asked_at) > ASK_TIMEOUT => Some((*id, *tries)),
-            _ => None,
-        });
-    let overdue = overdue.collect::<Vec<_>>();
-    for (id, tries) in overdue {
-        ask(state, id, tries + 1);
+            } if now.since(*asked_at) > ASK_TIMEOUT => {
+                due.push((*id, *tries + 1));
+            }
+            request::RequestPhase::ClaimTaken { until } if *until <= now => due.push((*id, 0)),
+            _ => {}
+        }
+    }
+    for (id, tries) in due {
+        ask(state, id, tries);
     }
 }
 
--- a/crates/node/src/systems/membership.rs
+++ b/crates/node/src/systems/membership.rs
@@ -182,7 +182,10 @@
 /// Whether enough is known of other daemons to take roles: every listed one was heard of, or
 /// has had its time to answer.
 pub(crate) fn has_joined(state: &state::NodeState) -> bool {
-    let heard = state.members.iter().all(|member| member.update.incarnation.0 > 0);
+    let heard = state
+        .members
+        .iter()
+        .all(|member| member.update.incarnation.0 > 0);
     let known = state.probes.listed && heard;
     known || state.now.since(state.started_at) > JOIN_LIMIT
 }
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -288,6 +288,18 @@
         fail(state, id, reason);
         return;
     }
+    if matches!(entry.phase, request::RequestPhase::ClaimTaken { .. }) {
+        let reason = outcome::FailureReason::EarlierCallRunning;
+        finish(
+            state,
+            id,
+            outcome::RequestOutcome::Unknown {
+                reason,
+                retry_after,
+            },
+        );
+        return;
+    }
     stop_running(state, id);
     settle_unsent(state, id);
     finish(state, id, admission::not_run(reason, retry_after));
@@ -343,7 +355,9 @@
                 systems::reclaim::cancel(state, running.attempt, &running.endpoint);
             }
         }
-        request::RequestPhase::Claiming { .. } | request::RequestPhase::Waiting { .. } => {}
+        request::RequestPhase::Claiming { .. }
+        | request::RequestPhase::ClaimTaken { .. }
+        | request::RequestPhase::Waiting { .. } => {}
     }
 }
 
--- a/crates/node/src/tables/request.rs
+++ b/crates/node/src/tables/request.rs
@@ -37,6 +37,8 @@
         asked_at: time::MonoTime,
         tries: usize,
     },
+    /// Another request holds the claim; asks again at the given time.
+    ClaimTaken { until: time::MonoTime },
     /// Waits for room; asks again at the given time.
     Waiting { until: time::MonoTime },
     /// Asked a keeper for a grant.
