Record claims in a small head with segments, and pace the writes

Cause: one object per shard held all claims of 24 hours. At 200 bytes a claim and 900 kB a shard, 16 shards are full after 72,000 claims, and each commit rewrote the whole object. Ruled out: one object per claim (a write per call: above the several hundred writes a second at the planned size); more shards alone (each commit still rewrites up to 900 kB). Change: a shard is a head of at most 64 kB plus immutable segments. Claims move to a segment named by the head's version, so that its content is the same whoever writes it; only the head is changed, by conditional update, so a paused writer always starts over. Writes of one head are 40 ms apart at least; settlements alone gather for 200 ms. Before: full after about 4,500 claims a shard.

--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -162,7 +162,7 @@
         }
         event::NodeEvent::StoreReplied { call, reply } => {
             if !systems::config::on_reply(state, call, &reply) {
-                systems::claims::on_reply(state, call, reply);
+                systems::shards::on_reply(state, call, reply);
             }
         }
         event::NodeEvent::ShutdownAsked => systems::drain::on_shutdown(state),
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod placement;
 pub(crate) mod reclaim;
 pub(crate) mod retry;
+pub(crate) mod shards;
--- /dev/null
+++ b/crates/node/src/systems/shards.rs
@@ -0,0 +1,450 @@
+//! The objects in which claims are recorded.
+//!
+//! A batch of claims is one conditional update of a shard's head. When the head grows large its
+//! claims are first copied to a segment, named by the head's version and thereby of one content
+//! whoever writes it, and then replaced in the head by the segment's name. A writer that was
+//! paused at any step finds the head's version changed and starts over.
+
+use std::time::Duration;
+
+use model::ids;
+use model::peer;
+use model::store;
+
+use crate::state;
+use crate::systems::claims;
+use crate::tables::claim;
+use crate::tables::member;
+
+/// Time for which a claim is remembered.
+const RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Age at which a claim that was not settled has an unknown outcome.
+const HELD_LIMIT_MS: u64 = 15 * 60 * 1_000;
+/// Size at which a head's claims are moved to a segment, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+/// Least time between two writes of one head. Bounds the writes of all shards together.
+const WRITE_PAUSE: Duration = Duration::from_millis(40);
+/// Time for which settlements gather when no claim waits.
+const SETTLE_GATHER: Duration = Duration::from_millis(200);
+/// Bytes of a claim without its recorded body.
+const CLAIM_BYTES: usize = 200;
+/// Most segments of a shard; no new claim is recorded beyond.
+const MOST_SEGMENTS: usize = 256;
+
+/// Starts the next call for a shard, if it has work and no call in flight.
+pub(crate) fn work(state: &mut state::NodeState, shard: ids::ClaimShard) {
+    let down = state.claims.down_since.is_some();
+    let Some(entry) = state.claims.shards.get(&shard) else {
+        return;
+    };
+    let due = entry.due_at(WRITE_PAUSE, SETTLE_GATHER);
+    let waits = due.is_none_or(|due| state.now < due);
+    if entry.call.is_some() || waits || down {
+        return;
+    }
+    let Some(known) = &entry.known else {
+        read_head(state, shard);
+        return;
+    };
+    if let Some(version) = entry.unread() {
+        let name = segment_name(shard, version);
+        let body = store::StoreCall::Read { name };
+        call(state, shard, body, claim::CallKind::ReadSegment(version));
+        return;
+    }
+    if encoded_bytes(&known.head.claims) > HEAD_BYTES {
+        let known = known.clone();
+        write_segment(state, shard, known);
+        return;
+    }
+    let known = known.clone();
+    commit(state, shard, &known);
+}
+
+/// Reads a shard's head.
+pub(crate) fn read_head(state: &mut state::NodeState, shard: ids::ClaimShard) {
+    let name = head_name(shard);
+    call(
+        state,
+        shard,
+        store::StoreCall::Read { name },
+        claim::CallKind::ReadHead,
+    );
+}
+
+fn head_name(shard: ids::ClaimShard) -> String {
+    format!("claims/{}", shard.0)
+}
+
+fn segment_name(shard: ids::ClaimShard, version: store::ObjectVersion) -> String {
+    format!("claims/{}/{}", shard.0, version.0)
+}
+
+fn call(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    body: store::StoreCall,
+    kind: claim::CallKind,
+) {
+    let call = state.call_store(body);
+    if let Some(entry) = state.claims.shards.get_mut(&shard) {
+        entry.call = Some(claim::ShardCall { call, kind });
+    }
+}
+
+fn write_segment(state: &mut state::NodeState, shard: ids::ClaimShard, known: claim::KnownShard) {
+    let claims = known.head.claims;
+    let body = store::StoreCall::Write {
+        name: segment_name(shard, known.version),
+        expected: store::ObjectVersion::ABSENT,
+        value: encode(&claims),
+    };
+    call(
+        state,
+        shard,
+        body,
+        claim::CallKind::WriteSegment(known.version, claims),
+    );
+}
+
+fn write_head(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    expected: store::ObjectVersion,
+    head: claim::ShardHead,
+) {
+    let body = store::StoreCall::Write {
+        name: head_name(shard),
+        expected,
+        value: encode(&head),
+    };
+    call(state, shard, body, claim::CallKind::WriteHead(head));
+}
+
+/// Answers what the shard already answers, and writes the rest in one conditional update.
+fn commit(state: &mut state::NodeState, shard: ids::ClaimShard, known: &claim::KnownShard) {
+    let wall_ms = state.wall_ms();
+    let mut head = known.head.clone();
+    head.claims
+        .retain(|_, record| record.at_ms + RETENTION_MS > wall_ms);
+    head.segments
+        .retain(|segment| segment.newest_ms + RETENTION_MS > wall_ms);
+    let Some(entry) = state.claims.shards.get_mut(&shard) else {
+        return;
+    };
+    let tasks = std::mem::take(&mut entry.tasks);
+    let mut left = Vec::new();
+    for task in tasks {
+        let Some(entry) = state.claims.shards.get(&shard) else {
+            return;
+        };
+        match apply(entry, known, &mut head, &task, wall_ms) {
+            TaskResult::Change => left.push(task),
+            TaskResult::Nothing => {}
+            TaskResult::Verdict(verdict) => claims::answer(state, &task, verdict),
+            TaskResult::Taken(record) => {
+                let verdict = judge_holder(state, &record);
+                claims::answer(state, &task, verdict);
+            }
+        }
+    }
+    let changed = !left.is_empty();
+    if let Some(entry) = state.claims.shards.get_mut(&shard) {
+        entry.tasks = left;
+    }
+    if changed {
+        write_head(state, shard, known.version, head);
+    }
+}
+
+/// A claim whose holder cannot settle it any more has an unknown outcome.
+fn judge_holder(state: &state::NodeState, record: &claim::ClaimRecord) -> peer::ClaimVerdict {
+    let old = record.at_ms + HELD_LIMIT_MS < state.wall_ms();
+    let owner = record.request.node;
+    let dead = owner != state.incarnation
+        && matches!(
+            state.members.life(owner),
+            member::LifeState::Replaced | member::LifeState::DeadSince(_)
+        );
+    if old || dead {
+        peer::ClaimVerdict::Unknown
+    } else {
+        peer::ClaimVerdict::Taken
+    }
+}
+
+/// What a task does to a shard.
+enum TaskResult {
+    /// It needs a write.
+    Change,
+    /// There is nothing left to do.
+    Nothing,
+    /// The shard as recorded answers it.
+    Verdict(peer::ClaimVerdict),
+    /// Another request holds the claim.
+    Taken(claim::ClaimRecord),
+}
+
+/// Applies a task to `head`, the next head of a shard whose recorded head is `known`.
+fn apply(
+    entry: &claim::ShardEntry,
+    known: &claim::KnownShard,
+    head: &mut claim::ShardHead,
+    task: &claim::ClaimTask,
+    wall_ms: u64,
+) -> TaskResult {
+    match &task.kind {
+        claim::TaskKind::Record { .. } => apply_record(entry, known, head, task, wall_ms),
+        claim::TaskKind::Settle { settlement } => apply_settle(entry, head, task, settlement),
+    }
+}
+
+fn apply_record(
+    entry: &claim::ShardEntry,
+    known: &claim::KnownShard,
+    head: &mut claim::ShardHead,
+    task: &claim::ClaimTask,
+    wall_ms: u64,
+) -> TaskResult {
+    let found = entry.find(head, &task.key);
+    if let Some(record) = found.filter(|record| record.state != claim::ClaimState::Released) {
+        let own = record.request == task.request;
+        return match &record.state {
+            claim::ClaimState::Held if own => {
+                let committed = entry.find(&known.head, &task.key) == Some(record);
+                if committed {
+                    TaskResult::Verdict(peer::ClaimVerdict::Recorded)
+                } else {
+                    TaskResult::Change
+                }
+            }
+            claim::ClaimState::Answered(answer) => {
+                TaskResult::Verdict(peer::ClaimVerdict::Answered(answer.clone()))
+            }
+            claim::ClaimState::Unknown => TaskResult::Verdict(peer::ClaimVerdict::Unknown),
+            claim::ClaimState::Held | claim::ClaimState::Released => {
+                TaskResult::Taken(record.clone())
+            }
+        };
+    }
+    if head.segments.len() >= MOST_SEGMENTS {
+        return TaskResult::Verdict(peer::ClaimVerdict::Full);
+    }
+    let record = claim::ClaimRecord {
+        request: task.request,
+        at_ms: wall_ms,
+        state: claim::ClaimState::Held,
+    };
+    head.claims.insert(task.key.clone(), record);
+    TaskResult::Change
+}
+
+fn apply_settle(
+    entry: &claim::ShardEntry,
+    head: &mut claim::ShardHead,
+    task: &claim::ClaimTask,
+    settlement: &peer::ClaimSettlement,
+) -> TaskResult {
+    let Some(record) = entry.find(head, &task.key) else {
+        return TaskResult::Nothing;
+    };
+    if record.request != task.request || record.state != claim::ClaimState::Held {
+        return TaskResult::Nothing;
+    }
+    let mut record = record.clone();
+    record.state = match settlement {
+        peer::ClaimSettlement::Answered(answer) => claim::ClaimState::Answered(answer.clone()),
+        peer::ClaimSettlement::Unknown => claim::ClaimState::Unknown,
+        peer::ClaimSettlement::NotSent => claim::ClaimState::Released,
+    };
+    let released = record.state == claim::ClaimState::Released;
+    if released && entry.find_sealed(head, &task.key).is_none() {
+        head.claims.remove(&task.key);
+    } else {
+        head.claims.insert(task.key.clone(), record);
+    }
+    TaskResult::Change
+}
+
+fn encoded_bytes(claims: &claim::ClaimMap) -> usize {
+    let bodies = claims.values().map(|record| match &record.state {
+        claim::ClaimState::Answered(answer) => answer.body.as_ref().map_or(0, String::len),
+        _ => 0,
+    });
+    claims.len() * CLAIM_BYTES + bodies.sum::<usize>()
+}
+
+/// Takes the object API's reply to a call for a shard.
+pub(crate) fn on_reply(
+    state: &mut state::NodeState,
+    call: store::CallId,
+    reply: store::StoreReply,
+) {
+    claims::note_store(state, &reply);
+    let found = state.claims.shards.iter_mut().find_map(|(shard, entry)| {
+        let matches = entry.call.as_ref().is_some_and(|known| known.call == call);
+        matches.then(|| (*shard, entry.call.take()))
+    });
+    let Some((shard, Some(known))) = found else {
+        return;
+    };
+    match known.kind {
+        claim::CallKind::ReadHead => on_head_read(state, shard, reply),
+        claim::CallKind::WriteHead(head) => on_head_written(state, shard, head, &reply),
+        claim::CallKind::ReadSegment(version) => on_segment_read(state, shard, version, reply),
+        claim::CallKind::WriteSegment(version, claims) => {
+            on_segment_written(state, shard, version, claims, &reply);
+        }
+    }
+    claims::expire_tasks(state, shard);
+    work(state, shard);
+}
+
+fn on_head_read(state: &mut state::NodeState, shard: ids::ClaimShard, reply: store::StoreReply) {
+    let known = match reply {
+        store::StoreReply::Found { version, value } => match serde_json::from_str(&value) {
+            Ok(head) => Some(claim::KnownShard { version, head }),
+            Err(_) => return note_unreadable(state),
+        },
+        store::StoreReply::Absent => Some(claim::KnownShard {
+            version: store::ObjectVersion::ABSENT,
+            head: claim::ShardHead::default(),
+        }),
+        _ => None,
+    };
+    set_known(state, shard, known);
+}
+
+fn on_head_written(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    head: claim::ShardHead,
+    reply: &store::StoreReply,
+) {
+    let store::StoreReply::Written { version } = reply else {
+        set_known(state, shard, None);
+        return;
+    };
+    remove_expired(state, shard, &head);
+    let now = state.now;
+    if let Some(entry) = state.claims.shards.get_mut(&shard) {
+        entry.written_at = now;
+    }
+    set_known(
+        state,
+        shard,
+        Some(claim::KnownShard {
+            version: *version,
+            head,
+        }),
+    );
+}
+
+/// Removes segments that the new head names no more. Nobody reads them again.
+fn remove_expired(state: &mut state::NodeState, shard: ids::ClaimShard, head: &claim::ShardHead) {
+    let Some(known) = state
+        .claims
+        .shards
+        .get(&shard)
+        .and_then(|entry| entry.known.clone())
+    else {
+        return;
+    };
+    let gone = known
+        .head
+        .segments
+        .iter()
+        .filter(|segment| !head.segments.contains(segment));
+    for segment in gone {
+        let name = segment_name(shard, segment.version);
+        // Its reply has no reader: a segment left behind only takes room.
+        state.call_store(store::StoreCall::Remove { name });
+    }
+}
+
+fn on_segment_read(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    version: store::ObjectVersion,
+    reply: store::StoreReply,
+) {
+    match reply {
+        store::StoreReply::Found { value, .. } => match serde_json::from_str(&value) {
+            Ok(claims) => add_segment(state, shard, version, claims),
+            Err(_) => note_unreadable(state),
+        },
+        // Removed by another owner, which has changed the head before that.
+        store::StoreReply::Absent => {
+            set_known(state, shard, None);
+            note_unreadable(state);
+        }
+        _ => {}
+    }
+}
+
+fn on_segment_written(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    version: store::ObjectVersion,
+    claims: claim::ClaimMap,
+    reply: &store::StoreReply,
+) {
+    // On a conflict the segment stands already, with the same content.
+    let stands = matches!(
+        reply,
+        store::StoreReply::Written { .. } | store::StoreReply::Conflict
+    );
+    let known = state
+        .claims
+        .shards
+        .get(&shard)
+        .and_then(|entry| entry.known.clone());
+    let Some(known) = known.filter(|known| stands && known.version == version) else {
+        set_known(state, shard, None);
+        return;
+    };
+    let newest_ms = claims
+        .values()
+        .map(|record| record.at_ms)
+        .max()
+        .unwrap_or(0);
+    let mut segments = known.head.segments;
+    segments.push(claim::SegmentRef { version, newest_ms });
+    add_segment(state, shard, version, claims);
+    let head = claim::ShardHead {
+        claims: claim::ClaimMap::default(),
+        segments,
+    };
+    write_head(state, shard, version, head);
+}
+
+fn add_segment(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    version: store::ObjectVersion,
+    claims: claim::ClaimMap,
+) {
+    if let Some(entry) = state.claims.shards.get_mut(&shard) {
+        entry.segments.insert(version, claims);
+    }
+}
+
+fn set_known(
+    state: &mut state::NodeState,
+    shard: ids::ClaimShard,
+    known: Option<claim::KnownShard>,
+) {
+    if let Some(entry) = state.claims.shards.get_mut(&shard) {
+        entry.set_known(known);
+    }
+}
+
+/// An unreadable object can record nothing; it is treated as an outage.
+fn note_unreadable(state: &mut state::NodeState) {
+    claims::note_store(state, &store::StoreReply::Lost);
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> String {
+    // Maps with string keys and plain records always encode.
+    serde_json::to_string(value).expect("claims encode as JSON")
+}
--- a/crates/node/src/tables/claim.rs
+++ b/crates/node/src/tables/claim.rs
@@ -1,6 +1,11 @@
 //! Claims on non-idempotent calls, as a shard's owner holds them.
+//!
+//! A shard is one small object, the head, and objects of older claims, the segments. The head
+//! names its segments. Only the head is ever changed, always by conditional update, so that
+//! one object orders all claims of the shard.
 
 use std::collections;
+use std::time::Duration;
 
 use model::ids;
 use model::outcome;
@@ -27,12 +32,30 @@
     Held,
     Answered(outcome::RecordedAnswer),
     Unknown,
+    /// The holder ended without sending; the key is free.
+    Released,
 }
 
-/// Content of one shard's object.
+/// Claims by key.
+pub(crate) type ClaimMap = collections::BTreeMap<ids::ClaimKey, ClaimRecord>;
+
+/// The head of a shard.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct ShardObject {
-    pub claims: collections::BTreeMap<ids::ClaimKey, ClaimRecord>,
+pub(crate) struct ShardHead {
+    /// Newest claims. They go before those of the segments.
+    pub claims: ClaimMap,
+    /// Older claims, oldest segment first.
+    #[serde(default)]
+    pub segments: Vec<SegmentRef>,
+}
+
+/// Names a segment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct SegmentRef {
+    /// Version of the head from which its claims were moved. Fixes its content.
+    pub version: store::ObjectVersion,
+    /// When its newest claim was recorded, in milliseconds since 1970.
+    pub newest_ms: u64,
 }
 
 /// Something to be written to a shard.
@@ -56,26 +79,93 @@
 /// One shard at its owner.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ShardEntry {
-    /// The object as last read or written here; `None` before the first read.
+    /// The head as last read or written here; `None` before the first read.
     pub known: Option<KnownShard>,
+    /// Segments read so far. They never change.
+    pub segments: collections::BTreeMap<store::ObjectVersion, ClaimMap>,
     pub tasks: Vec<ClaimTask>,
     /// The call in flight, if any.
     pub call: Option<ShardCall>,
+    /// When the head was last written here.
+    pub written_at: time::MonoTime,
+}
+
+impl ShardEntry {
+    /// When the waiting tasks are to be written: claims soon after the last write, settlements
+    /// alone only after they have gathered for a while.
+    pub fn due_at(&self, pause: Duration, gather: Duration) -> Option<time::MonoTime> {
+        let paced = self.written_at + pause;
+        let oldest = self.tasks.iter().map(|task| task.since).min()?;
+        let records = self
+            .tasks
+            .iter()
+            .any(|task| matches!(task.kind, TaskKind::Record { .. }));
+        Some(if records {
+            paced
+        } else {
+            paced.max(oldest + gather)
+        })
+    }
+
+    /// The record of a key in `head` or the segments that it names.
+    pub fn find<'a>(&'a self, head: &'a ShardHead, key: &ids::ClaimKey) -> Option<&'a ClaimRecord> {
+        if let Some(record) = head.claims.get(key) {
+            return Some(record);
+        }
+        self.find_sealed(head, key)
+    }
+
+    /// The record of a key in the segments that `head` names, the newest first.
+    pub fn find_sealed(&self, head: &ShardHead, key: &ids::ClaimKey) -> Option<&ClaimRecord> {
+        let newest_first = head.segments.iter().rev();
+        let mut claims = newest_first.filter_map(|segment| self.segments.get(&segment.version));
+        claims.find_map(|claims| claims.get(key))
+    }
+
+    /// A segment that the head names and that has not been read.
+    pub fn unread(&self) -> Option<store::ObjectVersion> {
+        let head = &self.known.as_ref()?.head;
+        let unread = head
+            .segments
+            .iter()
+            .find(|segment| !self.segments.contains_key(&segment.version));
+        unread.map(|segment| segment.version)
+    }
+
+    /// Takes a head in and forgets segments that it does not name any more.
+    pub fn set_known(&mut self, known: Option<KnownShard>) {
+        if let Some(known) = &known {
+            let named = &known.head.segments;
+            self.segments
+                .retain(|version, _| named.iter().any(|segment| segment.version == *version));
+        }
+        self.known = known;
+    }
 }
 
-/// A shard's object at a version.
+/// A shard's head at a version.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownShard {
     pub version: store::ObjectVersion,
-    pub object: ShardObject,
+    pub head: ShardHead,
 }
 
 /// A call to the object API for a shard.
 #[derive(Clone, Debug)]
 pub(crate) struct ShardCall {
     pub call: store::CallId,
-    /// What the object becomes if the write takes effect; `None` for a read.
-    pub written: Option<ShardObject>,
+    pub kind: CallKind,
+}
+
+/// What a [`ShardCall`] does.
+#[derive(Clone, Debug)]
+pub(crate) enum CallKind {
+    ReadHead,
+    /// The head becomes this if the write takes effect.
+    WriteHead(ShardHead),
+    ReadSegment(store::ObjectVersion),
+    /// These claims are moved out of the head of this version.
+    WriteSegment(store::ObjectVersion, ClaimMap),
 }
 
 /// All shards worked on here.
