Serve prompts beyond one engine by sets of engines, reserved all or none

Cause: a prompt longer than the 75 percent of one engine's memory that long prompts may take was refused; the longest the users carry exceed twice one engine. Ruled out: reserving in parallel (two sets can each hold half and starve each other until their grants lapse); holding grants while waiting for a busy member (the same, longer). Change: systems/sets.rs asks keepers one after the other in the order of names and gives all back at the first denial; nothing is sent before all are granted; engines read parts and export them, the first one joins the exports and generates.

--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -39,15 +39,7 @@
     let order = client::CompletionOrder {
         address: task.order.address,
         not_after: task.not_after,
-        request: wire::EngineRequest {
-            model: request.model.as_str().into(),
-            prompt: std::borrow::Cow::Borrowed(&request.prompt),
-            max_tokens: request.max_tokens,
-            stream: true,
-            attempt,
-            resume_offset: task.order.resume_offset,
-            priority: task.order.priority,
-        },
+        request: engine_request(&task.order, request),
     };
     let inputs = task.inputs.clone();
     let (end, ()) = tokio::join!(
@@ -58,6 +50,29 @@
     send(&task.inputs, driver::DriverInput::event(event)).await;
 }
 
+fn engine_request<'a>(
+    order: &action::AttemptOrder,
+    request: &'a wire::CompletionRequest,
+) -> wire::EngineRequest<'a> {
+    let mut sent = wire::EngineRequest {
+        model: request.model.as_str().into(),
+        prompt: std::borrow::Cow::Borrowed(&request.prompt),
+        max_tokens: request.max_tokens,
+        stream: true,
+        attempt: order.attempt,
+        resume_offset: order.resume_offset,
+        priority: order.priority,
+        part: None,
+        exports: Vec::new(),
+    };
+    match &order.stage {
+        action::AttemptStage::Whole => {}
+        action::AttemptStage::Part(part) => sent.part = Some(*part),
+        action::AttemptStage::Join { exports } => sent.exports.clone_from(exports),
+    }
+    sent
+}
+
 async fn pass_signals(
     attempt: ids::AttemptId,
     mut received: mpsc::Receiver<client::AttemptSignal>,
@@ -68,6 +83,9 @@
             client::AttemptSignal::Progress => {
                 driver::DriverInput::event(event::NodeEvent::AttemptProgressed { attempt })
             }
+            client::AttemptSignal::Exported(export) => {
+                driver::DriverInput::event(event::NodeEvent::PartExported { attempt, export })
+            }
             client::AttemptSignal::Piece(piece) => {
                 let event = event::NodeEvent::ChunkReceived {
                     attempt,
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -9,6 +9,7 @@
 use model::ids;
 use model::load;
 use model::outcome;
+use model::request;
 use tokio::sync::mpsc;
 use tokio::time;
 
@@ -23,6 +24,8 @@
 pub enum AttemptSignal {
     /// Bytes of the protocol came.
     Progress,
+    /// The engine holds its part of the prompt.
+    Exported(request::KvExport),
     /// A piece of the answer came.
     Piece(AnswerPiece),
 }
@@ -94,13 +97,8 @@
         if event.data == wire::DONE_DATA {
             return outcome::AttemptEnd::Complete { answer: None };
         }
-        let signal = if event.event == wire::PROGRESS_EVENT {
-            AttemptSignal::Progress
-        } else {
-            match parse_piece(&event.data) {
-                Some(piece) => AttemptSignal::Piece(piece),
-                None => return outcome::AttemptEnd::Broken,
-            }
+        let Some(signal) = parse_signal(&event) else {
+            return outcome::AttemptEnd::Broken;
         };
         if signals.send(signal).await.is_err() {
             return outcome::AttemptEnd::Broken;
@@ -109,6 +107,16 @@
     outcome::AttemptEnd::Broken
 }
 
+fn parse_signal(event: &eventsource_stream::Event) -> Option<AttemptSignal> {
+    match event.event.as_str() {
+        wire::PROGRESS_EVENT => Some(AttemptSignal::Progress),
+        wire::EXPORT_EVENT => serde_json::from_str(&event.data)
+            .ok()
+            .map(AttemptSignal::Exported),
+        _ => parse_piece(&event.data).map(AttemptSignal::Piece),
+    }
+}
+
 fn parse_piece(data: &str) -> Option<AnswerPiece> {
     let chunk = serde_json::from_str::<wire::CompletionChunk>(data).ok()?;
     let named = ids::AttemptId::try_from(chunk.id).ok()?;
--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -1,6 +1,7 @@
 //! What engines and callers send: the OpenAI-compatible completions shape with our fields.
 
 use model::ids;
+use model::request;
 use serde::{Deserialize, Serialize};
 
 /// Path of completions, at callers and engines alike.
@@ -11,6 +12,8 @@
 pub const LOAD_PATH: &str = "/v1/load";
 /// Name of the server-sent event that only tells that work goes on.
 pub const PROGRESS_EVENT: &str = "progress";
+/// Name of the server-sent event with what an engine exports of its part of a prompt.
+pub const EXPORT_EVENT: &str = "export";
 /// Data of the last server-sent event.
 pub const DONE_DATA: &str = "[DONE]";
 
@@ -70,6 +73,12 @@
     pub resume_offset: u64,
     /// Priority; lower goes first.
     pub priority: u32,
+    /// The part to read and hold; the whole prompt if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<request::PromptPart>,
+    /// Exports of the other parts, to be joined with the part held under this attempt.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub exports: Vec<request::KvExport>,
 }
 
 /// A piece of an answer, or a whole one.
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,6 +12,7 @@
 use engine::wire;
 use model::ids;
 use model::load;
+use model::request;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time;
@@ -21,6 +22,8 @@
 
 /// Time between two rounds of the batch.
 const ROUND: Duration = Duration::from_millis(5);
+/// Bytes of prompt text counted as one token.
+const TOKEN_BYTES: usize = 4;
 /// Time between two events that only tell that work goes on.
 const PROGRESS_PERIOD: Duration = Duration::from_millis(100);
 /// Pieces that wait for a slow reader.
@@ -102,12 +105,30 @@
     next: u64,
     end: u64,
     digest: u64,
+    /// The part held for a set, until it is joined.
+    part: Option<HeldPart>,
     pieces: Option<mpsc::Sender<StreamPiece>>,
     progressed_at: time::Instant,
 }
 
+impl StreamEntry {
+    /// Whether it has read its prompt and is not one of a set's parts.
+    fn generates(&self) -> bool {
+        self.prefill_left <= 0.0 && self.part.is_none()
+    }
+}
+
+/// A part of a prompt, and whether it was exported.
+#[derive(Clone, Copy)]
+struct HeldPart {
+    part: request::PromptPart,
+    digest: u64,
+    exported: bool,
+}
+
 enum StreamPiece {
     Progress,
+    Export(request::KvExport),
     Text { offset: u64, text: String },
     Done,
 }
@@ -242,6 +263,78 @@
         slots && self.used_tokens() + tokens <= self.model.memory_tokens
     }
 
+    /// Takes a request, or a part of one, if there is room.
+    fn admit(
+        &mut self,
+        request: &wire::EngineRequest<'_>,
+        pieces: mpsc::Sender<StreamPiece>,
+    ) -> http::StatusCode {
+        let prompt_tokens = request.prompt.tokens(TOKEN_BYTES as u32);
+        let read = request
+            .part
+            .map_or(prompt_tokens, |part| part.to - part.from);
+        let generates = request.part.is_none_or(|part| part.leads);
+        let tokens = read + if generates { request.max_tokens } else { 0 };
+        if !self.has_room(tokens) {
+            self.witness.refused += 1;
+            return http::StatusCode::TOO_MANY_REQUESTS;
+        }
+        self.witness.admitted += 1;
+        self.witness.last_admitted_ms = wall_ms();
+        let part = request.part.map(|part| HeldPart {
+            part,
+            digest: part_digest(&request.prompt, &part),
+            exported: false,
+        });
+        self.streams.push(StreamEntry {
+            attempt: request.attempt,
+            tokens,
+            priority: request.priority,
+            prefill_left: (read + request.resume_offset) as f64,
+            credit: 0.0,
+            next: request.resume_offset,
+            end: request.max_tokens,
+            digest: prompt_digest(&request.prompt),
+            part,
+            pieces: Some(pieces),
+            progressed_at: time::Instant::now(),
+        });
+        self.note_cold();
+        http::StatusCode::OK
+    }
+
+    /// Joins the exports of other engines with the part held here and generates over them all.
+    fn join(
+        &mut self,
+        request: &wire::EngineRequest<'_>,
+        pieces: mpsc::Sender<StreamPiece>,
+    ) -> http::StatusCode {
+        let held = self
+            .streams
+            .iter_mut()
+            .find(|stream| stream.attempt == request.attempt);
+        let Some((stream, part)) = held.and_then(|stream| stream.part.map(|part| (stream, part)))
+        else {
+            return http::StatusCode::CONFLICT;
+        };
+        let right = |export: &request::KvExport| {
+            export.digest == part_digest(&request.prompt, &export.part)
+        };
+        let mut parts = request
+            .exports
+            .iter()
+            .map(|export| export.part)
+            .collect::<Vec<_>>();
+        parts.push(part.part);
+        let whole = covers(parts, request.prompt.tokens(TOKEN_BYTES as u32));
+        if !whole || !part.exported || !request.exports.iter().all(right) {
+            return http::StatusCode::CONFLICT;
+        }
+        stream.part = None;
+        stream.pieces = Some(pieces);
+        http::StatusCode::OK
+    }
+
     /// Notes a new request while cold; the engine falls over under more than it can carry.
     fn note_cold(&mut self) {
         if !self.is_cold() {
@@ -266,34 +359,53 @@
     axum::extract::State(shared): axum::extract::State<SharedEngine>,
     axum::Json(request): axum::Json<wire::EngineRequest<'static>>,
 ) -> axum::response::Response {
-    let prompt_tokens = request.prompt.tokens(4);
-    let tokens = prompt_tokens + request.max_tokens;
     let (pieces, received) = mpsc::channel(PIECE_QUEUE);
-    {
+    let status = {
         let mut state = lock(&shared);
-        if !state.has_room(tokens) {
-            state.witness.refused += 1;
-            return http::StatusCode::TOO_MANY_REQUESTS.into_response();
+        if request.exports.is_empty() {
+            state.admit(&request, pieces)
+        } else {
+            state.join(&request, pieces)
         }
-        state.witness.admitted += 1;
-        state.witness.last_admitted_ms = wall_ms();
-        state.streams.push(StreamEntry {
-            attempt: request.attempt,
-            tokens,
-            priority: request.priority,
-            prefill_left: (prompt_tokens + request.resume_offset) as f64,
-            credit: 0.0,
-            next: request.resume_offset,
-            end: request.max_tokens,
-            digest: prompt_digest(&request.prompt),
-            pieces: Some(pieces),
-            progressed_at: time::Instant::now(),
-        });
-        state.note_cold();
+    };
+    if status != http::StatusCode::OK {
+        return status.into_response();
     }
     answer(request.attempt, request.model.to_string(), received)
 }
 
+/// Digest of the tokens of a part of a prompt.
+fn part_digest(prompt: &wire::PromptBody, part: &request::PromptPart) -> u64 {
+    let from = usize::try_from(part.from).unwrap_or(usize::MAX);
+    let to = usize::try_from(part.to).unwrap_or(usize::MAX);
+    match prompt {
+        wire::PromptBody::Text(text) => {
+            let bytes = text.as_bytes();
+            let end = (to * TOKEN_BYTES).min(bytes.len());
+            xxh3::xxh3_64(&bytes[(from * TOKEN_BYTES).min(end)..end])
+        }
+        wire::PromptBody::Tokens(tokens) => {
+            let end = to.min(tokens.len());
+            prompt_digest(&wire::PromptBody::Tokens(
+                tokens[from.min(end)..end].to_vec(),
+            ))
+        }
+    }
+}
+
+/// Whether parts, in any order, cover a prompt without a gap or an overlap.
+fn covers(mut parts: Vec<request::PromptPart>, tokens: u64) -> bool {
+    parts.sort_by_key(|part| part.from);
+    let mut next = 0;
+    for part in parts {
+        if part.from != next {
+            return false;
+        }
+        next = part.to;
+    }
+    next == tokens
+}
+
 fn answer(
     attempt: ids::AttemptId,
     model: String,
@@ -305,6 +417,9 @@
                 StreamPiece::Progress => {
                     yield Ok(sse::Event::default().event(wire::PROGRESS_EVENT).data("{}"));
                 }
+                StreamPiece::Export(export) => {
+                    yield sse::Event::default().event(wire::EXPORT_EVENT).json_data(&export);
+                }
                 StreamPiece::Text { offset, text } => {
                     let chunk =
                         wire::CompletionChunk::new(attempt.to_string(), &model, Some(offset), &text, false);
@@ -393,36 +508,57 @@
 /// Reads prompts, the most urgent first, in pieces.
 fn prefill(state: &mut EngineState, span: f64) {
     let mut budget = state.model.prefill_rate * span;
-    let now = time::Instant::now();
     let mut order = (0..state.streams.len()).collect::<Vec<_>>();
     order.sort_by_key(|index| state.streams[*index].priority);
     for index in order {
         let stream = &mut state.streams[index];
-        if stream.prefill_left <= 0.0 {
-            continue;
-        }
-        let part = stream.prefill_left.min(budget);
-        stream.prefill_left -= part;
-        budget -= part;
-        if now - stream.progressed_at >= PROGRESS_PERIOD {
-            stream.progressed_at = now;
-            send(stream, StreamPiece::Progress);
+        if stream.prefill_left > 0.0 {
+            let part = stream.prefill_left.min(budget);
+            stream.prefill_left -= part;
+            budget -= part;
+            tell_progress(stream);
+        } else if stream.part.is_some() {
+            export(stream);
+            tell_progress(stream);
         }
     }
 }
 
+fn tell_progress(stream: &mut StreamEntry) {
+    let now = time::Instant::now();
+    if now - stream.progressed_at >= PROGRESS_PERIOD {
+        stream.progressed_at = now;
+        send(stream, StreamPiece::Progress);
+    }
+}
+
+/// Exports a part that has been read, once.
+fn export(stream: &mut StreamEntry) {
+    let attempt = stream.attempt;
+    let Some(held) = stream.part.as_mut().filter(|held| !held.exported) else {
+        return;
+    };
+    held.exported = true;
+    let export = request::KvExport {
+        attempt,
+        part: held.part,
+        digest: held.digest,
+    };
+    send(stream, StreamPiece::Export(export));
+}
+
 /// Generates for all that have read their prompts; the more there are, the slower.
 fn decode(state: &mut EngineState, span: f64) {
     let active = state
         .streams
         .iter()
-        .filter(|stream| stream.prefill_left <= 0.0)
+        .filter(|stream| stream.generates())
         .count();
     let load = active as f64 / f64::from(state.model.slots.max(1));
     let rate = state.model.decode_rate / (1.0 + load);
     let mut finished = 0;
     state.streams.retain_mut(|stream| {
-        if stream.prefill_left > 0.0 || stream.pieces.is_none() {
+        if !stream.generates() || stream.pieces.is_none() {
             return true;
         }
         stream.credit += rate * span;
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -74,6 +74,28 @@
     },
 }
 
+/// A part of a prompt that one engine of a set reads and holds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PromptPart {
+    /// First token.
+    pub from: u64,
+    /// Token after the last one.
+    pub to: u64,
+    /// Whether the engine also generates the answer.
+    pub leads: bool,
+}
+
+/// What an engine exports of the part of a prompt that it holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KvExport {
+    /// Attempt under which the part is held.
+    pub attempt: ids::AttemptId,
+    /// The part.
+    pub part: PromptPart,
+    /// Digest of the part's tokens.
+    pub digest: u64,
+}
+
 /// A request as the deciding part sees it: sizes and names, no payload.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RequestHead {
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -6,6 +6,7 @@
 use model::ids;
 use model::outcome;
 use model::peer;
+use model::request;
 use model::store;
 use model::time;
 use serde::{Deserialize, Serialize};
@@ -89,6 +90,8 @@
     pub endpoint: ids::EndpointId,
     /// Its address.
     pub address: net::SocketAddr,
+    /// What is asked of it.
+    pub stage: AttemptStage,
     /// Pieces of the answer that the caller has already.
     pub resume_offset: u64,
     /// Time after which no byte may be sent any more.
@@ -97,6 +100,20 @@
     pub priority: u32,
 }
 
+/// What an attempt asks of its endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AttemptStage {
+    /// The whole request.
+    Whole,
+    /// To read and hold a part of the prompt until the attempt is cancelled.
+    Part(request::PromptPart),
+    /// To generate, on the engine that holds the leading part, over all parts.
+    Join {
+        /// Exports of the other parts.
+        exports: Vec<request::KvExport>,
+    },
+}
+
 /// Something worth a line in the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum NodeNote {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -52,6 +52,13 @@
         /// The attempt.
         attempt: ids::AttemptId,
     },
+    /// An engine of a set holds its part of the prompt.
+    PartExported {
+        /// The attempt.
+        attempt: ids::AttemptId,
+        /// What the engine exported.
+        export: request::KvExport,
+    },
     /// A piece of an answer came.
     ChunkReceived {
         /// The attempt whose connection it came over.
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -144,6 +144,9 @@
         event::NodeEvent::AttemptProgressed { attempt } => {
             systems::retry::on_progress(state, attempt)
         }
+        event::NodeEvent::PartExported { attempt, export } => {
+            systems::sets::on_exported(state, attempt, export);
+        }
         event::NodeEvent::ChunkReceived {
             attempt,
             named,
@@ -175,6 +178,7 @@
     systems::grants::tick(state);
     systems::claims::tick(state);
     systems::placement::tick(state);
+    systems::sets::tick(state);
     systems::retry::tick(state);
     systems::reclaim::tick(state);
     systems::drain::tick(state);
--- a/crates/node/src/systems/admission.rs
+++ b/crates/node/src/systems/admission.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use model::config;
 use model::outcome;
 use model::request;
 
@@ -33,6 +32,7 @@
         sent: false,
         sent_before: false,
         claimed: false,
+        set: Vec::new(),
         tried: Vec::new(),
     };
     let claimed = entry.head.claim().is_some();
@@ -67,7 +67,7 @@
     if head.deadline <= state.now {
         return Some(not_run(outcome::RefusalReason::DeadlineTooClose, None));
     }
-    if head.memory_tokens() > largest_memory(config, head) {
+    if !systems::sets::can_hold(config, head) {
         return Some(not_run(outcome::RefusalReason::PromptTooLong, None));
     }
     if state.requests.of_customer(&head.customer) >= customer.max_in_flight {
@@ -79,17 +79,6 @@
     None
 }
 
-fn largest_memory(config: &config::FleetConfig, head: &request::RequestHead) -> u64 {
-    let endpoints = config
-        .endpoints
-        .values()
-        .filter(|entry| entry.service == head.service);
-    endpoints
-        .map(|entry| entry.memory_tokens)
-        .max()
-        .unwrap_or(u64::MAX)
-}
-
 /// An outcome that says that the request was not run.
 pub(crate) fn not_run(
     reason: outcome::RefusalReason,
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -30,7 +30,7 @@
 /// One in this many slots of an engine may be taken by long prompts.
 const LONG_SLOT_DIVISOR: u32 = 4;
 /// Percentage of an engine's memory that long prompts may take.
-const LONG_MEMORY_PERCENT: u64 = 75;
+pub(crate) const LONG_MEMORY_PERCENT: u64 = 75;
 
 /// What a sender asks of a keeper.
 #[derive(Clone, Debug)]
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod placement;
 pub(crate) mod reclaim;
 pub(crate) mod retry;
+pub(crate) mod sets;
 pub(crate) mod shards;
--- a/crates/node/src/systems/placement.rs
+++ b/crates/node/src/systems/placement.rs
@@ -19,7 +19,7 @@
 use crate::tables::request;
 
 /// Time that a keeper has to answer.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Shortest rest of a request that found no room.
 const REST_MIN_MS: u64 = 20;
 /// Longest rest of a request that found no room.
@@ -59,6 +59,10 @@
 
 /// Asks the keeper of the best endpoint for room; without one, lets the request wait.
 pub(crate) fn place(state: &mut state::NodeState, id: ids::RequestId) {
+    if systems::sets::needs_set(state, id) {
+        systems::sets::reserve(state, id);
+        return;
+    }
     let Some(choice) = choose(state, id) else {
         wait(state, id);
         return;
@@ -157,7 +161,8 @@
     }
 }
 
-fn wait(state: &mut state::NodeState, id: ids::RequestId) {
+/// Lets a request wait for room, or gives it up.
+pub(crate) fn wait(state: &mut state::NodeState, id: ids::RequestId) {
     let pause = Duration::from_millis(state.rng.random_range(REST_MIN_MS..=REST_MAX_MS));
     let now = state.now;
     let Some(entry) = state.requests.get_mut(&id) else {
@@ -186,6 +191,9 @@
     let view = state.endpoints.view(id);
     view.free_slots = free_slots;
     view.seen_at = now;
+    if systems::sets::on_grant(state, attempt, verdict) {
+        return;
+    }
     let Some(pending) = pending_grant(state, attempt) else {
         if verdict == peer::GrantVerdict::Granted {
             let usage = peer::GrantUsage::Unused;
@@ -260,6 +268,7 @@
         attempt: pending.attempt,
         endpoint: pending.endpoint.clone(),
         address: target.address,
+        stage: action::AttemptStage::Whole,
         resume_offset: entry.delivered,
         not_after,
         priority: endpoint::priority(entry.head.class()),
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -21,9 +21,9 @@
 /// Retries earned by each request that is answered.
 const BUDGET_EARNED: f64 = 0.2;
 /// Time without a byte of the protocol after which an endpoint's connection is given up.
-const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Most attempts sent for one request.
-const MOST_SENT: u32 = 6;
+pub(crate) const MOST_SENT: u32 = 6;
 
 /// Ends requests past their deadline, and attempts that went silent.
 pub(crate) fn tick(state: &mut state::NodeState) {
@@ -55,6 +55,7 @@
 /// Bytes of the protocol came for an attempt.
 pub(crate) fn on_progress(state: &mut state::NodeState, attempt: ids::AttemptId) {
     let now = state.now;
+    systems::sets::on_progress(state, attempt);
     if let Some(entry) = state.requests.running(&attempt)
         && let request::RequestPhase::Running(running) = &mut entry.phase
     {
@@ -99,6 +100,9 @@
     attempt: ids::AttemptId,
     end: outcome::AttemptEnd,
 ) {
+    if systems::sets::on_ended(state, attempt, &end) {
+        return;
+    }
     let Some(entry) = state.requests.running(&attempt) else {
         return;
     };
@@ -106,6 +110,7 @@
         return;
     };
     let id = entry.head.id;
+    systems::sets::release_others(state, id, attempt);
     let view = state.endpoints.view(&running.endpoint);
     view.in_flight = view.in_flight.saturating_sub(1);
     match end {
@@ -138,7 +143,8 @@
     }
 }
 
-fn mark_sent(state: &mut state::NodeState, id: ids::RequestId) {
+/// Notes that bytes of a request may have reached an endpoint.
+pub(crate) fn mark_sent(state: &mut state::NodeState, id: ids::RequestId) {
     if let Some(entry) = state.requests.get_mut(&id) {
         entry.sent_before = true;
     }
@@ -169,7 +175,7 @@
 }
 
 /// Goes on elsewhere after an attempt that will not be answered.
-fn go_on(
+pub(crate) fn go_on(
     state: &mut state::NodeState,
     id: ids::RequestId,
     endpoint: &ids::EndpointId,
@@ -213,11 +219,10 @@
         );
         return;
     }
-    if state.retry_tokens < 1.0 {
+    if !take_retry(state) {
         fail(state, id, outcome::FailureReason::EndpointLost);
         return;
     }
-    state.retry_tokens -= 1.0;
     go_on(
         state,
         id,
@@ -226,6 +231,15 @@
     );
 }
 
+/// Takes one retry out of the budget. Returns whether there was one.
+pub(crate) fn take_retry(state: &mut state::NodeState) -> bool {
+    if state.retry_tokens < 1.0 {
+        return false;
+    }
+    state.retry_tokens -= 1.0;
+    true
+}
+
 fn return_grant(
     state: &mut state::NodeState,
     running: &request::RunningAttempt,
@@ -305,7 +319,12 @@
     finish(state, id, admission::not_run(reason, retry_after));
 }
 
-fn fail(state: &mut state::NodeState, id: ids::RequestId, reason: outcome::FailureReason) {
+/// Ends a request that may have run.
+pub(crate) fn fail(
+    state: &mut state::NodeState,
+    id: ids::RequestId,
+    reason: outcome::FailureReason,
+) {
     let Some(entry) = state.requests.get(&id) else {
         return;
     };
@@ -344,7 +363,11 @@
         request::RequestPhase::Asking(pending) => {
             systems::placement::give_back(state, &pending, peer::GrantUsage::Unused);
         }
+        request::RequestPhase::Reserving | request::RequestPhase::Preparing => {
+            systems::sets::release(state, id);
+        }
         request::RequestPhase::Running(running) => {
+            systems::sets::release_others(state, id, running.attempt);
             let view = state.endpoints.view(&running.endpoint);
             view.in_flight = view.in_flight.saturating_sub(1);
             state.act(action::NodeAction::DropAttempt {
--- a/crates/node/src/tables/request.rs
+++ b/crates/node/src/tables/request.rs
@@ -3,13 +3,13 @@
 use std::collections;
 
 use model::ids;
-use model::request;
+use model::request as head;
 use model::time;
 
 /// One request in flight.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestEntry {
-    pub head: request::RequestHead,
+    pub head: head::RequestHead,
     pub arrived_at: time::MonoTime,
     pub phase: RequestPhase,
     /// Pieces of the answer handed to the caller.
@@ -24,6 +24,8 @@
     pub sent_before: bool,
     /// Whether a claim is recorded for it.
     pub claimed: bool,
+    /// Engines that share the prompt, by name; empty if one engine takes it whole.
+    pub set: Vec<SetMember>,
     /// Endpoints that had no room since the last rest.
     pub tried: Vec<ids::EndpointId>,
 }
@@ -43,6 +45,10 @@
     Waiting { until: time::MonoTime },
     /// Asked a keeper for a grant.
     Asking(PendingGrant),
+    /// Reserves a set of engines, one after the other.
+    Reserving,
+    /// The engines of its set read their parts of the prompt.
+    Preparing,
     /// Was sent to an endpoint.
     Running(RunningAttempt),
 }
@@ -65,6 +71,39 @@
     pub progressed_at: time::MonoTime,
 }
 
+/// One engine of a set.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct SetMember {
+    pub attempt: ids::AttemptId,
+    pub endpoint: ids::EndpointId,
+    pub keeper: ids::HostId,
+    pub part: head::PromptPart,
+    /// Tokens of memory reserved.
+    pub tokens: u64,
+    pub state: SetState,
+}
+
+/// Where one engine of a set stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum SetState {
+    Wanted,
+    Asked {
+        at: time::MonoTime,
+    },
+    Granted {
+        asked_at: time::MonoTime,
+    },
+    /// It was sent its part.
+    Sent {
+        progressed_at: time::MonoTime,
+    },
+    /// It holds its part.
+    Ready {
+        export: head::KvExport,
+        progressed_at: time::MonoTime,
+    },
+}
+
 /// All requests in flight.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RequestTable {
