Stop granting an endpoint that takes no connection

Cause: a keeper kept granting an engine that was dead: its failed load reports were passed over, and a sender's failed dial came back as an unused grant. A set of engines chose the dead one six times within 5 s and its request failed (log of a_set_that_loses_an_engine_starts_over_on_others). Ruled out: the sender's rest of 500 ms, which works but is shorter than a set's preparation. Change: a failed report, or a grant returned as unreachable, takes the report away until the next good one; no report, no grant. The engine's life is remembered meanwhile, so that a restart is still seen as cold.

--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -189,6 +189,8 @@
     Failed,
     /// It was not sent.
     Unused,
+    /// It could not be sent: the endpoint took no connection.
+    Unreachable,
 }
 
 /// Whether a claimed call may be sent.
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -93,6 +93,7 @@
         ready_at: state.now + GRANT_SPAN,
         reports_load,
         load: None,
+        life: None,
         load_asked_at: state.now,
         next_load_at: state.now,
         carry: if reports_load {
@@ -166,12 +167,11 @@
         return;
     };
     let Some(load) = load else {
+        account.load = None;
         return;
     };
-    let restarted = account
-        .load
-        .as_ref()
-        .is_some_and(|old| old.incarnation != load.incarnation);
+    let restarted = account.life.is_some_and(|life| life != load.incarnation);
+    account.life = Some(load.incarnation);
     if restarted {
         account.carry = entry.cold_slots;
         account.earned = 0;
@@ -300,6 +300,7 @@
         peer::GrantUsage::Finished => earn(account, &entry),
         peer::GrantUsage::Failed => lose(account, &entry),
         peer::GrantUsage::Unused => {}
+        peer::GrantUsage::Unreachable => doubt(account),
     }
 }
 
@@ -315,6 +316,12 @@
     }
 }
 
+/// An endpoint that takes no connection gets no grant before it reports its load again.
+fn doubt(account: &mut ledger::EndpointLedger) {
+    account.load = None;
+    account.next_load_at = time::MonoTime::default();
+}
+
 /// A refusal or a broken answer is evidence against the endpoint.
 fn lose(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry) {
     account.earned = 0;
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -116,7 +116,7 @@
     match end {
         outcome::AttemptEnd::Complete { answer } => complete(state, id, &running, answer),
         outcome::AttemptEnd::NotSent => {
-            return_grant(state, &running, peer::GrantUsage::Unused);
+            return_grant(state, &running, peer::GrantUsage::Unreachable);
             go_on(
                 state,
                 id,
--- a/crates/node/src/systems/sets.rs
+++ b/crates/node/src/systems/sets.rs
@@ -413,7 +413,7 @@
         return false;
     }
     match end {
-        outcome::AttemptEnd::NotSent => lose(state, attempt, peer::GrantUsage::Unused),
+        outcome::AttemptEnd::NotSent => lose(state, attempt, peer::GrantUsage::Unreachable),
         _ => lose(state, attempt, peer::GrantUsage::Failed),
     }
     true
--- a/crates/node/src/tables/ledger.rs
+++ b/crates/node/src/tables/ledger.rs
@@ -24,6 +24,8 @@
     pub reports_load: bool,
     /// Last load reported, and when it was asked for.
     pub load: Option<load::EngineLoad>,
+    /// The engine's life by its last report, kept while it does not report.
+    pub life: Option<u64>,
     pub load_asked_at: time::MonoTime,
     pub next_load_at: time::MonoTime,
     /// Requests that the endpoint has earned the right to carry.
