Add a small scenario language over real processes

Cause: the invariants are to be proved by scripted scenarios whose expectations name the invariant that they prove.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -211,7 +211,7 @@
     let store = store::FakeStore::start(fleet::free_address())
         .await
         .map_err(failed("the object API"))?;
-    let plain = plain::FakePlain::start(fleet::free_address())
+    let plain = plain::FakePlain::start(fleet::free_address(), None)
         .await
         .map_err(failed("a plain service"))?;
     let mut engines = Vec::new();
--- a/crates/fakes/src/args.rs
+++ b/crates/fakes/src/args.rs
@@ -10,6 +10,8 @@
 use crate::hosts;
 use crate::plain;
 use crate::proxy;
+use crate::scenario::run;
+use crate::scenario::spec;
 use crate::store;
 
 /// Stand-ins for what sardinepaddle works with.
@@ -36,6 +38,9 @@
         /// Address to listen on.
         #[arg(long)]
         listen: net::SocketAddr,
+        /// File in which it notes what it ran, so that a restart does not forget it.
+        #[arg(long)]
+        journal: Option<path::PathBuf>,
     },
     /// The object API.
     Store {
@@ -67,6 +72,11 @@
         #[arg(long)]
         control: net::SocketAddr,
     },
+    /// Runs one scenario against processes of its own.
+    Scenario {
+        /// The scenario (YAML).
+        file: path::PathBuf,
+    },
 }
 
 impl FakeArgs {
@@ -89,7 +99,10 @@
             };
             engine::FakeEngine::start(listen, model).await?.wait().await;
         }
-        FakeCommand::Plain { listen } => plain::FakePlain::start(listen).await?.wait().await,
+        FakeCommand::Plain { listen, journal } => {
+            let plain = plain::FakePlain::start(listen, journal.as_deref()).await?;
+            plain.wait().await;
+        }
         FakeCommand::Store { listen } => store::FakeStore::start(listen).await?.wait().await,
         FakeCommand::Hosts {
             listen,
@@ -111,6 +124,11 @@
             let proxy = proxy::FaultProxy::start(listen, to).await?;
             proxy.serve_control(control).await?.wait().await;
         }
+        FakeCommand::Scenario { file } => {
+            let scenario = spec::read(&file).map_err(io::Error::other)?;
+            run::run(&scenario).await.map_err(io::Error::other)?;
+            println!("{} holds", file.display());
+        }
     }
     Ok(())
 }
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use model::request;
+use serde::Deserialize;
 use tokio::time;
 
 use crate::engine as fake_engine;
@@ -55,7 +56,8 @@
 }
 
 /// How a call ended, as its caller saw it.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(rename_all = "snake_case")]
 pub enum CallOutcome {
     /// The whole right answer came.
     Answered,
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -163,7 +163,9 @@
         }
         let mut plains = Vec::new();
         for index in 0..plan.plains.len() {
-            plains.push(start_endpoint(&folder, "plain", index, &[]).await?);
+            let journal = journal(&folder, index).display().to_string();
+            let extra = ["--journal".to_owned(), journal];
+            plains.push(start_endpoint(&folder, "plain", index, &extra).await?);
         }
         let mut fleet = Self {
             daemons,
@@ -322,6 +324,14 @@
         Ok(())
     }
 
+    /// Starts a plain endpoint again.
+    pub fn start_plain(&mut self, index: usize) -> io::Result<()> {
+        let log = log(&self.folder, &format!("plain-{index}"));
+        let unit = &mut self.plains[index];
+        unit.process = Some(process::TestProcess::start(FAKES, &unit.args, &log)?);
+        Ok(())
+    }
+
     /// Waits until a daemon is ready.
     pub async fn wait_ready(&self, index: usize) -> io::Result<()> {
         let admin = self.daemons[index].settings.listen.admin;
@@ -350,13 +360,14 @@
         caller::get_json(self.engines[index].address, "/fake/witness").await
     }
 
-    /// How often each operation ran, over all plain endpoints.
-    pub async fn plain_runs(&self) -> collections::BTreeMap<String, u64> {
+    /// How often each operation ran, over all plain endpoints, dead ones included.
+    pub fn plain_runs(&self) -> collections::BTreeMap<String, u64> {
         let mut runs = collections::BTreeMap::new();
-        for unit in &self.plains {
-            let witness =
-                caller::get_json::<plain::PlainWitness>(unit.address, "/fake/witness").await;
-            for (operation, count) in witness.unwrap_or_default().runs {
+        for index in 0..self.plains.len() {
+            let counts = plain::read_journal(&journal(&self.folder, index));
+            // A witness that cannot be read must not pass for one that saw nothing.
+            let counts = counts.unwrap_or_else(|error| panic!("no journal: {error}"));
+            for (operation, count) in counts {
                 *runs.entry(operation).or_default() += count;
             }
         }
@@ -419,6 +430,10 @@
     folder.path().join(format!("{name}.log"))
 }
 
+fn journal(folder: &tempfile::TempDir, index: usize) -> path::PathBuf {
+    folder.path().join(format!("plain-{index}.journal"))
+}
+
 fn yaml<T: serde::Serialize>(value: &T) -> io::Result<String> {
     serde_yaml_ng::to_string(value).map_err(io::Error::other)
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plain;
 pub mod process;
 pub mod proxy;
+pub mod scenario;
 pub mod store;
 
 mod serve;
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -1,8 +1,11 @@
 //! A stand-in plain service that counts what it ran: the witness for at most once.
 
 use std::collections;
+use std::fs;
 use std::io;
+use std::io::Write;
 use std::net;
+use std::path;
 use std::sync;
 use std::time::Duration;
 
@@ -26,7 +29,13 @@
     pub last_call_ms: u64,
 }
 
-type SharedPlain = sync::Arc<sync::Mutex<PlainWitness>>;
+#[derive(Debug, Default)]
+struct PlainState {
+    witness: PlainWitness,
+    journal: Option<fs::File>,
+}
+
+type SharedPlain = sync::Arc<sync::Mutex<PlainState>>;
 
 /// A stand-in plain service that runs until it is dropped.
 #[derive(Debug)]
@@ -35,12 +44,18 @@
 }
 
 impl FakePlain {
-    /// Starts a plain service.
-    pub async fn start(address: net::SocketAddr) -> io::Result<Self> {
+    /// Starts a plain service. With a journal it keeps its count beyond its own death.
+    pub async fn start(address: net::SocketAddr, journal: Option<&path::Path>) -> io::Result<Self> {
+        let mut state = PlainState::default();
+        if let Some(path) = journal {
+            state.witness.runs = read_journal(path)?;
+            let file = fs::File::options().append(true).create(true).open(path)?;
+            state.journal = Some(file);
+        }
         let router = axum::Router::new()
             .route("/fake/witness", routing::get(witness))
             .fallback(run)
-            .with_state(SharedPlain::default());
+            .with_state(SharedPlain::new(sync::Mutex::new(state)));
         let server = serve::start(address, router).await?;
         Ok(Self { server })
     }
@@ -56,15 +71,23 @@
     }
 }
 
+/// Counts the runs in a journal, of which each line names an operation.
+pub fn read_journal(path: &path::Path) -> io::Result<collections::BTreeMap<String, u64>> {
+    let mut runs = collections::BTreeMap::new();
+    if !path.exists() {
+        return Ok(runs);
+    }
+    for operation in fs::read_to_string(path)?.lines() {
+        *runs.entry(operation.to_owned()).or_default() += 1;
+    }
+    Ok(runs)
+}
+
 async fn witness(
     axum::extract::State(shared): axum::extract::State<SharedPlain>,
 ) -> axum::Json<PlainWitness> {
-    axum::Json(
-        shared
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .clone(),
-    )
+    let state = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    axum::Json(state.witness.clone())
 }
 
 /// Answer to a call.
@@ -91,9 +114,14 @@
 }
 
 fn count(shared: &SharedPlain, operation: &str) -> u64 {
-    let mut witness = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
-    witness.last_call_ms = engine::wall_ms();
-    let runs = witness.runs.entry(operation.to_owned()).or_default();
+    let mut state = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    if let Some(journal) = &mut state.journal
+        && let Err(error) = journal.write_all(format!("{operation}\n").as_bytes())
+    {
+        panic!("the journal cannot be written: {error}");
+    }
+    state.witness.last_call_ms = engine::wall_ms();
+    let runs = state.witness.runs.entry(operation.to_owned()).or_default();
     *runs += 1;
     *runs
 }
--- a/crates/fakes/tests/whole_path.rs
+++ b/crates/fakes/tests/whole_path.rs
@@ -56,7 +56,7 @@
         let again = caller::order(fleet.callers((index + 1) % 3), &order(&key, Some(&key))).await;
         assert_eq!(again.outcome, caller::CallOutcome::Answered, "{again:?}");
     }
-    let runs = fleet.plain_runs().await;
+    let runs = fleet.plain_runs();
     assert_eq!(runs.len(), 3);
     assert!(runs.values().all(|count| *count == 1), "{runs:?}");
 }
