Give slow idempotent plain calls a fair part of their time

Cause: an idempotent call to a plain service was dropped after 2 s without a byte, as an engine's is; a plain service tells nothing before its answer. A GET of 4 s was sent six times and failed. Ruled out: no limit at all (a connection that went silent would hold the call to its deadline). Change: the limit for plain calls is a third of the time allowed, at least 2 s. Before: tests/plain_calls.rs failed (endpoint_lost after 10.6 s of 20 s).

--- a/crates/fakes/tests/engine_sets.rs
+++ b/crates/fakes/tests/engine_sets.rs
@@ -95,16 +95,8 @@
     let records = calls.join_all().await;
     let answered = records
         .iter()
-        .filter(|record| record.outcome == caller::CallOutcome::Answered)
-        .count();
-    assert!(answered >= 1, "{records:?}");
-    let final_answers = records.iter().all(|record| {
-        !matches!(
-            record.outcome,
-            caller::CallOutcome::Lost | caller::CallOutcome::Wrong
-        )
-    });
-    assert!(final_answers, "{records:?}");
+        .all(|record| record.outcome == caller::CallOutcome::Answered);
+    assert!(answered, "{records:?}");
     wait_free(&fleet).await;
 }
 
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -22,6 +22,8 @@
 const BUDGET_EARNED: f64 = 0.2;
 /// Time without a byte of the protocol after which an endpoint's connection is given up.
 pub(crate) const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Silent endpoints that an idempotent plain call can meet within the time allowed.
+const PLAIN_TRIES: u32 = 3;
 /// Most attempts sent for one request.
 pub(crate) const MOST_SENT: u32 = 6;
 
@@ -37,7 +39,7 @@
         }
         if let request::RequestPhase::Running(running) = &entry.phase
             && entry.head.may_repeat()
-            && now.since(running.progressed_at) > SILENCE_LIMIT
+            && now.since(running.progressed_at) > silence_limit(entry)
         {
             silent.push(running.attempt);
         }
@@ -52,6 +54,18 @@
     }
 }
 
+/// Time without a byte after which an attempt counts as silent. A plain service tells nothing
+/// before its answer, so a slow one is given a fair part of the time allowed.
+fn silence_limit(entry: &request::RequestEntry) -> Duration {
+    match entry.head.kind {
+        head::RequestKind::Prompt { .. } => SILENCE_LIMIT,
+        head::RequestKind::Plain { .. } => {
+            let allowed = entry.head.deadline.since(entry.arrived_at);
+            SILENCE_LIMIT.max(allowed / PLAIN_TRIES)
+        }
+    }
+}
+
 /// Bytes of the protocol came for an attempt.
 pub(crate) fn on_progress(state: &mut state::NodeState, attempt: ids::AttemptId) {
     let now = state.now;
