--- /dev/null
+++ b/crates/cli/src/cmd/completions.rs
@@ -0,0 +1,26 @@
+//! `sardinepaddle completions`
+
+use std::io;
+
+use clap::CommandFactory;
+
+use crate::cmd;
+use crate::error;
+
+/// Print the completions for a shell.
+#[derive(Clone, Debug, clap::Args)]
+#[command(
+    after_help = "Examples:\n  sardinepaddle completions bash > ~/.local/share/bash-completion/completions/sardinepaddle"
+)]
+pub(crate) struct CompletionArgs {
+    /// The shell.
+    shell: clap_complete::Shell,
+}
+
+impl CompletionArgs {
+    pub fn run(self) -> error::Result<()> {
+        let mut command = cmd::CliArgs::command();
+        clap_complete::generate(self.shell, &mut command, "sardinepaddle", &mut io::stdout());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/change.rs
@@ -0,0 +1,336 @@
+//! The change path: acceptance, races, lost answers, the audit trail.
+
+mod support;
+
+use std::time::Duration;
+
+use fakes::store;
+use model::audit;
+use model::config;
+use model::ids;
+use model::store as store_model;
+use platform::trail;
+use platform::writer;
+
+fn note(who: &str, write_id: &str) -> writer::ChangeNote {
+    writer::ChangeNote {
+        who: who.to_owned(),
+        what: "test".to_owned(),
+        at_ms: 1,
+        write_id: write_id.to_owned(),
+    }
+}
+
+fn with_customer(base: &writer::CurrentConfig, name: &str) -> config::FleetConfig {
+    let mut config = base.object.config.clone();
+    config
+        .customers
+        .insert(ids::CustomerId::new(name), config::CustomerEntry::default());
+    config
+}
+
+fn lost(count: u32) -> store::StoreFaults {
+    store::StoreFaults {
+        lose_writes: count,
+        ..Default::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_and_entry_are_one_write() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    let end = platform
+        .run_as("dana", &["endpoint", "take-out", "lm-01"])
+        .await;
+    assert_eq!(end.code, 0, "{end:?}");
+    let (_, object) = platform.object().await;
+    let entry = object.audit.last().unwrap();
+    assert_eq!(entry.number, 2);
+    assert_eq!(entry.who, "dana");
+    assert_eq!(entry.what, "endpoint take-out lm-01");
+    assert_eq!(entry.changes[0].path, "endpoints/lm-01");
+    assert_eq!(
+        entry.changes[0].before.as_ref().unwrap()["state"],
+        "in_service"
+    );
+    assert_eq!(
+        entry.changes[0].after.as_ref().unwrap()["state"],
+        "taken_out"
+    );
+    let state = object.config.endpoints[&ids::EndpointId::new("lm-01")].state;
+    assert_eq!(state, config::ServiceState::TakenOut);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_to_change_writes_nothing() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    let (before, _) = platform.object().await;
+    let end = platform.run(&["endpoint", "bring-back", "lm-01"]).await;
+    assert_eq!(end.code, 0, "{end:?}");
+    assert_eq!(platform.object().await.0, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_race_names_the_winner_and_changes_nothing() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let base = writer.read().await.unwrap();
+    let end = platform
+        .run_as("omar", &["customer", "create", "won"])
+        .await;
+    assert_eq!(end.code, 0, "{end:?}");
+    let config = with_customer(&base, "late");
+    let outcome = writer.change(&base, config, note("late", "w")).await;
+    let writer::ChangeOutcome::LostRace { winners } = outcome.unwrap() else {
+        panic!("the race was not lost");
+    };
+    assert_eq!(winners.len(), 1);
+    assert_eq!(winners[0].who, "omar");
+    assert_eq!(winners[0].changes[0].path, "customers/won");
+    let (_, object) = platform.object().await;
+    assert!(
+        !object
+            .config
+            .customers
+            .contains_key(&ids::CustomerId::new("late"))
+    );
+}
+
+/// Programs started at once in one round.
+const RACERS: usize = 6;
+/// Most rounds until two programs meet.
+const ROUNDS: usize = 30;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn program_exits_with_three_after_a_lost_race() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    // Slow calls let programs read before another one writes.
+    platform
+        .faults(&store::StoreFaults {
+            latency_ms: 100,
+            ..Default::default()
+        })
+        .await;
+    for round in 0..ROUNDS {
+        if race(&platform, round).await > 0 {
+            return;
+        }
+    }
+    panic!("no two programs met");
+}
+
+/// Lets programs race. Returns how many lost.
+async fn race(platform: &support::TestPlatform, round: usize) -> usize {
+    let names = (0..RACERS).map(|index| format!("c{round}-{index}"));
+    let names = names.collect::<Vec<_>>();
+    let runs = names.iter().map(async |name| {
+        let args = ["customer", "create", name.as_str()];
+        platform.run_as(name, &args).await
+    });
+    let ends = futures_util::future::join_all(runs).await;
+    let (_, object) = platform.object().await;
+    let mut lost = 0;
+    for (name, end) in names.iter().zip(&ends) {
+        let id = ids::CustomerId::new(name);
+        let present = object.config.customers.contains_key(&id);
+        assert_eq!(present, end.code == 0, "{end:?}");
+        if end.code == 0 {
+            continue;
+        }
+        lost += 1;
+        assert_eq!(end.code, 3, "{end:?}");
+        assert!(end.stderr.contains("+ customers/c"), "{end:?}");
+    }
+    lost
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_read_back_as_accepted() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    platform.faults(&lost(1)).await;
+    let end = platform.run(&["customer", "create", "depot-2"]).await;
+    assert_eq!(end.code, 0, "{end:?}");
+    let (version, object) = platform.object().await;
+    assert!(
+        end.stdout.contains(&format!("accepted: version {version}")),
+        "{end:?}"
+    );
+    let entries = object
+        .audit
+        .iter()
+        .filter(|entry| entry.what == "customer create depot-2");
+    assert_eq!(entries.count(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_settled_by_write_id_after_others_changed_more() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let base = writer.read().await.unwrap();
+    platform.faults(&lost(1)).await;
+    let config = with_customer(&base, "first");
+    let first = writer.change(&base, config, note("one", "w-one"));
+    let second = async {
+        loop {
+            let base = writer.read().await.unwrap();
+            if base.object.audit.len() == 2 {
+                let config = with_customer(&base, "second");
+                break writer.change(&base, config, note("two", "w-two")).await;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert!(matches!(
+        second.unwrap(),
+        writer::ChangeOutcome::Accepted { .. }
+    ));
+    let writer::ChangeOutcome::Accepted { current, entry } = first.unwrap() else {
+        panic!("the first change was accepted");
+    };
+    assert_eq!(entry.number, 2);
+    assert_eq!(current.object.audit.len(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_in_the_middle_is_told_as_unknown() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    platform.fill().await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let base = writer.read().await.unwrap();
+    let outage = store::StoreFaults {
+        outage: true,
+        ..Default::default()
+    };
+    platform.faults(&outage).await;
+    let config = with_customer(&base, "late");
+    let error = writer.change(&base, config, note("one", "w-one")).await;
+    let Err(writer::WriterError::Unknown { write_id }) = error else {
+        panic!("{error:?}");
+    };
+    assert_eq!(write_id, "w-one");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_before_the_read_is_a_failure() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    let outage = store::StoreFaults {
+        outage: true,
+        ..Default::default()
+    };
+    platform.faults(&outage).await;
+    let end = platform.run(&["customer", "create", "depot-2"]).await;
+    assert_eq!(end.code, 1, "{end:?}");
+    assert!(end.stderr.contains("nothing was changed"), "{end:?}");
+}
+
+fn entry(number: u64, bytes: usize) -> audit::AuditEntry {
+    audit::AuditEntry {
+        number,
+        who: "tester".to_owned(),
+        at_ms: number,
+        what: "x".repeat(bytes),
+        write_id: format!("w-{number}"),
+        changes: Vec::new(),
+    }
+}
+
+#[test]
+fn entries_are_rolled_by_count_and_by_size() {
+    let count = trail::KEPT_ENTRIES as u64;
+    let many = (1..=count)
+        .map(|number| entry(number, 10))
+        .collect::<Vec<_>>();
+    assert_eq!(trail::due(&many), Vec::<usize>::new());
+    let more = (1..=count + 1)
+        .map(|number| entry(number, 10))
+        .collect::<Vec<_>>();
+    assert_eq!(trail::due(&more), vec![32]);
+    let large = (1..=9)
+        .map(|number| entry(number, 90 << 10))
+        .collect::<Vec<_>>();
+    assert_eq!(trail::due(&large), vec![2, 2, 2]);
+}
+
+async fn fill_trail(platform: &support::TestPlatform, count: u64) {
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let mut base = writer.read().await.unwrap();
+    for number in 1..=count {
+        let config = with_customer(&base, &format!("c{number}"));
+        let note = note("tester", &format!("w-{number}"));
+        let outcome = writer.change(&base, config, note).await.unwrap();
+        let writer::ChangeOutcome::Accepted { current, .. } = outcome else {
+            panic!("{outcome:?}");
+        };
+        base = *current;
+    }
+}
+
+async fn numbers(platform: &support::TestPlatform) -> Vec<u64> {
+    let (_, object) = platform.object().await;
+    let entries = trail::read(&platform.client, &object, usize::MAX)
+        .await
+        .unwrap();
+    entries.iter().map(|entry| entry.number).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolled_entries_stay_in_the_trail() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    fill_trail(&platform, 140).await;
+    assert_eq!(numbers(&platform).await, (1..=140).collect::<Vec<_>>());
+    let (_, object) = platform.object().await;
+    assert!(object.audit.len() <= trail::KEPT_ENTRIES + 1);
+    let rolled = platform.client.list(trail::ROLLED_PREFIX).await.unwrap();
+    assert_eq!(rolled.len(), 3);
+    let end = platform
+        .run(&["audit", "--write-id", "w-3", "--json"])
+        .await;
+    assert_eq!(end.code, 0, "{end:?}");
+    let found = serde_json::from_str::<Vec<audit::AuditEntry>>(&end.stdout).unwrap();
+    assert_eq!(found[0].number, 3);
+    let end = platform.run(&["audit", "--write-id", "none"]).await;
+    assert_eq!(end.code, 1, "{end:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn roll_interrupted_before_the_change_loses_and_doubles_nothing() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    fill_trail(&platform, trail::KEPT_ENTRIES as u64 + 1).await;
+    let (_, object) = platform.object().await;
+    // The writer is interrupted after it wrote the rolled entries.
+    assert_eq!(
+        trail::roll(&platform.client, &object.audit).await.unwrap(),
+        32
+    );
+    let all = (1..=trail::KEPT_ENTRIES as u64 + 1).collect::<Vec<_>>();
+    assert_eq!(numbers(&platform).await, all);
+    // The next one meets them, also with its own answer lost.
+    platform.faults(&lost(1)).await;
+    let end = platform.run(&["customer", "create", "next"]).await;
+    assert_eq!(end.code, 0, "{end:?}");
+    let all = (1..=trail::KEPT_ENTRIES as u64 + 2).collect::<Vec<_>>();
+    assert_eq!(numbers(&platform).await, all);
+    assert_eq!(
+        platform.object().await.1.audit.len(),
+        trail::KEPT_ENTRIES + 2 - 32
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn numbers_go_on_after_the_object_was_removed() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    fill_trail(&platform, trail::KEPT_ENTRIES as u64 + 2).await;
+    let call = store_model::StoreCall::Remove {
+        name: config::CONFIG_OBJECT.to_owned(),
+    };
+    platform.client.call(call).await;
+    platform.fill().await;
+    assert_eq!(platform.object().await.1.audit[0].number, 33);
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -175,6 +175,26 @@
     pub checks_orders: bool,
 }
 
+impl EndpointEntry {
+    /// An endpoint in service, with every default.
+    pub fn new(
+        service: ids::ServiceId,
+        data_centre: ids::CentreId,
+        address: net::SocketAddr,
+    ) -> Self {
+        Self {
+            service,
+            data_centre,
+            address,
+            state: ServiceState::InService,
+            slots: default_slots(),
+            memory_tokens: default_memory_tokens(),
+            cold_slots: default_cold_slots(),
+            checks_orders: false,
+        }
+    }
+}
+
 fn default_slots() -> u32 {
     16
 }
