--- a/crates/cli/tests/change.rs
+++ b/crates/cli/tests/change.rs
@@ -334,3 +334,61 @@
     platform.fill().await;
     assert_eq!(platform.object().await.1.audit[0].number, 33);
 }
+
+/// A note whose entry has about `bytes` bytes.
+fn large_note(write_id: &str, bytes: usize) -> writer::ChangeNote {
+    let mut note = note("tester", write_id);
+    note.what = "x".repeat(bytes);
+    note
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_entry_is_rolled_by_the_next_change() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    for (index, bytes) in [700 << 10, 700 << 10, 10].into_iter().enumerate() {
+        let base = writer.read().await.unwrap();
+        let config = with_customer(&base, &format!("c{index}"));
+        let note = large_note(&format!("w-{index}"), bytes);
+        let outcome = writer.change(&base, config, note).await.unwrap();
+        assert!(matches!(outcome, writer::ChangeOutcome::Accepted { .. }));
+    }
+    assert_eq!(numbers(&platform).await, [1, 2, 3]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_beyond_the_value_limit_is_refused_before_it_is_written() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let base = writer.read().await.unwrap();
+    let config = with_customer(&base, "c1");
+    let outcome = writer.change(&base, config, large_note("w", writer::VALUE_BYTES));
+    let error = outcome.await.unwrap_err();
+    assert!(
+        matches!(error, writer::WriterError::TooLarge { .. }),
+        "{error}"
+    );
+    assert_eq!(writer.read().await.unwrap(), base);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn writers_that_roll_at_once_lose_no_entry() {
+    let platform = support::TestPlatform::start(Vec::new()).await;
+    let count = trail::KEPT_ENTRIES as u64 + 1;
+    fill_trail(&platform, count).await;
+    let writer = writer::ConfigWriter::new(platform.client.clone());
+    let base = writer.read().await.unwrap();
+    let changes = ["a", "b", "c", "d"].map(|name| {
+        let config = with_customer(&base, name);
+        writer.change(&base, config, note(name, name))
+    });
+    let outcomes = futures_util::future::join_all(changes).await;
+    let accepted = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Ok(writer::ChangeOutcome::Accepted { .. })));
+    assert_eq!(accepted.count(), 1, "{outcomes:?}");
+    assert_eq!(
+        numbers(&platform).await,
+        (1..=count + 1).collect::<Vec<_>>()
+    );
+}
--- a/crates/platform/src/trail.rs
+++ b/crates/platform/src/trail.rs
@@ -54,7 +54,7 @@
     let sizes = entries.iter().map(size_of).collect::<Vec<_>>();
     let mut rest = sizes.as_slice();
     let mut lengths = Vec::new();
-    while rest.len() > KEPT_ENTRIES || (rest.len() > 1 && rest.iter().sum::<usize>() > KEPT_BYTES) {
+    while rest.len() > KEPT_ENTRIES || rest.iter().sum::<usize>() > KEPT_BYTES {
         let length = object_length(rest);
         lengths.push(length);
         rest = &rest[length..];
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -17,7 +17,7 @@
 /// Largest value that the object API holds, in bytes.
 pub const VALUE_BYTES: usize = 1 << 20;
 /// Tries to settle a write whose answer was lost.
-const SETTLE_TRIES: usize = 12;
+const SETTLE_TRIES: usize = 6;
 /// Pause between two of them.
 const SETTLE_PAUSE: Duration = Duration::from_millis(250);
 /// Tries to read the configuration.
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -159,7 +159,7 @@
     required("kind", ValueShape::Kinds(SERVICE_KINDS)),
     required("runners", COUNT),
     required("port", PORT),
-    defaulted("timeout_ms", LARGE_COUNT),
+    nullable("timeout_ms", LARGE_COUNT),
     defaulted("non_idempotent", ValueShape::List(&ValueShape::Call)),
 ];
 
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -93,6 +93,10 @@
     };
     let text = serde_yaml_ng::to_string(&settings).unwrap();
     assert_eq!(check::operator("operator", &text).unwrap(), settings);
+    let mut unsaid = answers();
+    unsaid.services[0].timeout_ms = None;
+    let text = serde_yaml_ng::to_string(&unsaid).unwrap();
+    assert_eq!(check::answers("answers", &text).unwrap(), unsaid);
     let text = serde_yaml_ng::to_string(&answers()).unwrap();
     assert_eq!(check::answers("answers", &text).unwrap(), answers());
     assert_eq!(check::FileKind::guess(&text), check::FileKind::Answers);
