--- a/crates/daemon/tests/start.rs
+++ b/crates/daemon/tests/start.rs
@@ -20,6 +20,22 @@
     assert!(text.contains("hots"), "{text}");
 }
 
+#[test]
+fn every_fault_is_told_at_once_with_its_place() {
+    let output = run("host: a1\nlog: { levle: info }\nlimits: { connections: none }\n");
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for part in [
+        "did you mean level?",
+        ":2:8]",
+        "must be a whole number",
+        ":3:24]",
+        "key listen is missing",
+    ] {
+        assert!(text.contains(part), "{part}\n{text}");
+    }
+}
+
 #[test]
 fn missing_file_is_refused_with_its_path() {
     let output = process::Command::new(env!("CARGO_BIN_EXE_sardinepaddled"))
