Take a reader that stops early as no fault

Cause: printing to a closed pipe panics. All output goes through one function that ignores a closed pipe; the daemons are told of a change before anything is printed. The test failed before.

--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -45,15 +45,15 @@
     }
     match outcome? {
         writer::ChangeOutcome::Unchanged => {
-            println!("nothing to change: version {} stays", base.version.0);
-            Ok(())
+            let version = base.version.0;
+            output::say(&format!("nothing to change: version {version} stays"))
         }
         writer::ChangeOutcome::LostRace { winners } => Err(lost_race(&winners)),
         writer::ChangeOutcome::Accepted { current, entry } => {
-            println!("accepted: version {}", current.version.0);
-            println!("{}", output::entry(&entry));
-            push(access, &current).await;
-            Ok(())
+            let pushed = push(access, &current).await;
+            output::say(&format!("accepted: version {}", current.version.0))?;
+            output::say(&output::entry(&entry))?;
+            output::say(&pushed)
         }
     }
 }
@@ -84,15 +84,14 @@
 
 /// Hands the accepted configuration to the daemons, so that it spreads even if the object API
 /// fails now. A daemon that does not take it learns of it by its watch or its peers.
-async fn push(access: &connect::PlatformAccess, current: &writer::CurrentConfig) {
+async fn push(access: &connect::PlatformAccess, current: &writer::CurrentConfig) -> String {
     let Ok(listing) = access.client.hosts().await else {
-        println!(
-            "pushed to no daemon: the host list does not answer; daemons learn by their watch"
-        );
-        return;
+        let text =
+            "pushed to no daemon: the host list does not answer; daemons learn by their watch";
+        return text.to_owned();
     };
     let count = push_to(&listing.hosts, current.version, &current.object.config).await;
-    println!("pushed to {} of {} daemons", count.taken, count.asked);
+    format!("pushed to {} of {} daemons", count.taken, count.asked)
 }
 
 async fn push_to(
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -6,6 +6,7 @@
 use settings::load;
 
 use crate::error;
+use crate::output;
 
 /// Check a settings, configuration or answers file and show every fault with its place.
 #[derive(Clone, Debug, clap::Args)]
@@ -46,7 +47,6 @@
         let kind = self.kind.map_or_else(guess, FileChoice::kind);
         let name = self.file.display().to_string();
         check::file(&name, &text, kind)?;
-        println!("{name}: no fault");
-        Ok(())
+        output::say(&format!("{name}: no fault"))
     }
 }
--- a/crates/cli/src/cmd/completions.rs
+++ b/crates/cli/src/cmd/completions.rs
@@ -1,11 +1,10 @@
 //! `sardinepaddle completions`
 
-use std::io;
-
 use clap::CommandFactory;
 
 use crate::cmd;
 use crate::error;
+use crate::output;
 
 /// Print the completions for a shell.
 #[derive(Clone, Debug, clap::Args)]
@@ -20,7 +19,8 @@
 impl CompletionArgs {
     pub fn run(self) -> error::Result<()> {
         let mut command = cmd::CliArgs::command();
-        clap_complete::generate(self.shell, &mut command, "sardinepaddle", &mut io::stdout());
-        Ok(())
+        let mut script = Vec::new();
+        clap_complete::generate(self.shell, &mut command, "sardinepaddle", &mut script);
+        output::write(&String::from_utf8_lossy(&script))
     }
 }
--- a/crates/cli/src/cmd/init.rs
+++ b/crates/cli/src/cmd/init.rs
@@ -11,6 +11,7 @@
 use settings::load;
 
 use crate::error;
+use crate::output;
 use crate::questions;
 
 /// Generate a first configuration from a questionnaire.
@@ -42,10 +43,7 @@
         }
         match &self.output {
             Some(path) => write(path, &text),
-            None => {
-                print!("{text}");
-                Ok(())
-            }
+            None => output::write(&text),
         }
     }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,5 +1,7 @@
 //! Prints results, for people or as JSON.
 
+use std::io;
+use std::io::Write;
 use std::time;
 
 use model::audit;
@@ -22,14 +24,35 @@
         lines: impl FnOnce(&T) -> String,
     ) -> error::Result<()> {
         if self.json {
-            println!("{}", serde_json::to_string_pretty(value)?);
-            return Ok(());
+            return say(&serde_json::to_string_pretty(value)?);
         }
         let text = lines(value);
-        if !text.is_empty() {
-            println!("{text}");
+        match text.is_empty() {
+            true => Ok(()),
+            false => say(&text),
         }
-        Ok(())
+    }
+}
+
+/// Writes a line to standard output.
+pub(crate) fn say(line: &str) -> error::Result<()> {
+    write(&format!("{line}\n"))
+}
+
+/// Writes text to standard output. A reader that has seen enough is no fault.
+pub(crate) fn write(text: &str) -> error::Result<()> {
+    let mut stdout = io::stdout().lock();
+    let written = stdout
+        .write_all(text.as_bytes())
+        .and_then(|()| stdout.flush());
+    match written {
+        Err(source) if source.kind() != io::ErrorKind::BrokenPipe => {
+            Err(error::CliError::WriteFile {
+                path: "standard output".to_owned(),
+                source,
+            })
+        }
+        _ => Ok(()),
     }
 }
 
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::fs;
+use std::process;
 
 /// The deployments whose answers and configuration are kept.
 const EXAMPLES: [&str; 2] = ["zaatar", "blue-mahoe"];
@@ -220,3 +221,17 @@
     let end = support::run(&["--help"]);
     assert!(end.stdout.contains("Exit codes:"), "{end:?}");
 }
+
+#[test]
+fn reader_that_stops_early_is_no_fault() {
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_sardinepaddle"))
+        .args(["completions", "bash"])
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{text}");
+}
