--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -72,7 +72,7 @@
     #[diagnostic(transparent)]
     Faulty(#[from] Box<fault::FaultReport>),
     /// The configuration could not be read or changed.
-    #[error("{0}")]
+    #[error(transparent)]
     Writer(#[from] writer::WriterError),
     /// The audit trail could not be read.
     #[error("cannot read the audit trail")]
--- a/crates/cli/tests/change.rs
+++ b/crates/cli/tests/change.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::future;
+use std::sync;
+use std::sync::atomic;
 use std::time::Duration;
 
 use fakes::store;
@@ -217,6 +220,49 @@
     assert_eq!(write_id, "w-one");
 }
 
+/// An object API that is empty until the first write, and answers nothing from then on.
+async fn serve_until_written(listener: tokio::net::TcpListener) {
+    let written = sync::Arc::new(atomic::AtomicBool::new(false));
+    let answer = move |request: axum::extract::Request| async move {
+        if request.method() == http::Method::PUT {
+            written.store(true, atomic::Ordering::SeqCst);
+        }
+        if written.load(atomic::Ordering::SeqCst) {
+            future::pending::<()>().await;
+        }
+        match request.uri().query() {
+            Some(_) => (http::StatusCode::OK, "[]"),
+            None => (http::StatusCode::NOT_FOUND, ""),
+        }
+    };
+    let router = axum::Router::new().fallback(answer);
+    axum::serve(listener, router).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn program_exits_with_four_when_the_outcome_is_unknown() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = tokio::spawn(serve_until_written(listener));
+    let end = tokio::task::spawn_blocking(move || {
+        let flags = [
+            "--object-api",
+            &address,
+            "--host-list",
+            &address,
+            "--who",
+            "dana",
+        ];
+        support::run(&[&["customer", "create", "depot-1"][..], &flags[..]].concat())
+    });
+    let end = end.await.unwrap();
+    server.abort();
+    assert_eq!(end.code, 4, "{end:?}");
+    assert!(end.stderr.contains("the answer to write "), "{end:?}");
+    assert!(end.stderr.contains("audit --write-id"), "{end:?}");
+    assert!(!end.stdout.contains("accepted"), "{end:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn outage_before_the_read_is_a_failure() {
     let platform = support::TestPlatform::start(Vec::new()).await;
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -44,7 +44,7 @@
     #[error("the audit trail cannot be rolled off; nothing was changed")]
     Trail(#[from] trail::TrailError),
     /// The write may or may not have taken effect.
-    #[error("the answer to the write was lost and cannot be read back: it may be in force or not")]
+    #[error("the answer to write {write_id} was lost: it may be in force or not")]
     Unknown {
         /// Id of the write.
         write_id: String,
