--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the object API and the host list.
 
 use std::net;
+use std::sync;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -8,6 +9,7 @@
 use hyper_util::rt;
 use model::store;
 
+use crate::traffic;
 use crate::wire;
 
 /// Longest wait for a reply.
@@ -49,13 +51,41 @@
     object_api: net::SocketAddr,
     host_list: net::SocketAddr,
     http: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>,
+    traffic: sync::Arc<traffic::PlatformTraffic>,
+    listing: sync::Arc<sync::Mutex<Option<TaggedListing>>>,
+}
+
+/// The last host list read, with the tag that the platform gave it.
+#[derive(Clone, Debug)]
+struct TaggedListing {
+    tag: http::HeaderValue,
+    listing: wire::HostListing,
 }
 
 /// A reply read to its end.
 struct RawReply {
     status: http::StatusCode,
-    version: Option<store::ObjectVersion>,
+    tag: Option<http::HeaderValue>,
+    body: bytes::Bytes,
+}
+
+/// One call on its way.
+struct RawCall {
+    kind: traffic::CallKind,
+    request: http::request::Builder,
     body: bytes::Bytes,
+    limit: Duration,
+}
+
+impl RawCall {
+    fn new(kind: traffic::CallKind, request: http::request::Builder) -> Self {
+        Self {
+            kind,
+            request,
+            body: bytes::Bytes::new(),
+            limit: REPLY_LIMIT,
+        }
+    }
 }
 
 impl PlatformClient {
@@ -71,9 +101,16 @@
             object_api,
             host_list,
             http,
+            traffic: sync::Arc::default(),
+            listing: sync::Arc::default(),
         }
     }
 
+    /// Calls and bytes of this client and its clones.
+    pub fn traffic(&self) -> &sync::Arc<traffic::PlatformTraffic> {
+        &self.traffic
+    }
+
     /// Makes a call. A reply that does not come in time, or makes no sense, counts as lost.
     pub async fn call(&self, body: store::StoreCall) -> store::StoreReply {
         match self.try_call(body).await {
@@ -96,9 +133,8 @@
 
     async fn read(&self, name: &str) -> Result<store::StoreReply> {
         let uri = self.object_uri(name);
-        let reply = self
-            .send(http::Request::get(uri), bytes::Bytes::new(), REPLY_LIMIT)
-            .await?;
+        let call = RawCall::new(traffic::CallKind::Read, http::Request::get(uri));
+        let reply = self.send(call).await?;
         match reply.status {
             http::StatusCode::NOT_FOUND => Ok(store::StoreReply::Absent),
             http::StatusCode::OK => {
@@ -124,10 +160,10 @@
         } else {
             request.header(http::header::IF_MATCH, format!("\"{}\"", expected.0))
         };
-        let reply = self
-            .send(request, bytes::Bytes::from(value), REPLY_LIMIT)
-            .await?;
-        match (reply.status, reply.version) {
+        let mut call = RawCall::new(traffic::CallKind::Write, request);
+        call.body = bytes::Bytes::from(value);
+        let reply = self.send(call).await?;
+        match (reply.status, version_of(&reply)) {
             (http::StatusCode::OK, Some(version)) => Ok(store::StoreReply::Written { version }),
             (http::StatusCode::PRECONDITION_FAILED, _) => Ok(store::StoreReply::Conflict),
             (status, _) => Err(PlatformError::Status(status.as_u16())),
@@ -136,7 +172,8 @@
 
     async fn remove(&self, name: &str) -> Result<store::StoreReply> {
         let request = http::Request::delete(self.object_uri(name));
-        let reply = self.send(request, bytes::Bytes::new(), REPLY_LIMIT).await?;
+        let call = RawCall::new(traffic::CallKind::Remove, request);
+        let reply = self.send(call).await?;
         match reply.status {
             http::StatusCode::OK | http::StatusCode::NOT_FOUND => Ok(store::StoreReply::Absent),
             status => Err(PlatformError::Status(status.as_u16())),
@@ -150,9 +187,8 @@
             self.object_api,
             wire::OBJECTS_PATH
         );
-        let reply = self
-            .send(http::Request::get(uri), bytes::Bytes::new(), REPLY_LIMIT)
-            .await?;
+        let call = RawCall::new(traffic::CallKind::List, http::Request::get(uri));
+        let reply = self.send(call).await?;
         if reply.status != http::StatusCode::OK {
             return Err(PlatformError::Status(reply.status.as_u16()));
         }
@@ -173,10 +209,9 @@
             after.0,
             wait.as_millis()
         );
-        let limit = wait + REPLY_LIMIT;
-        let reply = self
-            .send(http::Request::get(uri), bytes::Bytes::new(), limit)
-            .await?;
+        let mut call = RawCall::new(traffic::CallKind::Watch, http::Request::get(uri));
+        call.limit = wait + REPLY_LIMIT;
+        let reply = self.send(call).await?;
         match reply.status {
             http::StatusCode::NO_CONTENT => Ok(None),
             http::StatusCode::OK => found(reply).map(Some),
@@ -184,31 +219,56 @@
         }
     }
 
-    /// Reads the host list.
+    /// Reads the host list. A platform that tags its listings is asked for news only.
     pub async fn hosts(&self) -> Result<wire::HostListing> {
         let uri = format!("http://{}{}", self.host_list, wire::HOSTS_PATH);
-        let reply = self
-            .send(http::Request::get(uri), bytes::Bytes::new(), REPLY_LIMIT)
-            .await?;
-        if reply.status != http::StatusCode::OK {
-            return Err(PlatformError::Status(reply.status.as_u16()));
+        let known = self.known_listing();
+        let mut request = http::Request::get(uri);
+        if let Some(known) = &known {
+            request = request.header(http::header::IF_NONE_MATCH, known.tag.clone());
+        }
+        let call = RawCall::new(traffic::CallKind::Hosts, request);
+        let reply = self.send(call).await?;
+        match (reply.status, known) {
+            (http::StatusCode::OK, _) => self.keep_listing(&reply),
+            (http::StatusCode::NOT_MODIFIED, Some(known)) => Ok(known.listing),
+            (status, _) => Err(PlatformError::Status(status.as_u16())),
         }
-        Ok(serde_json::from_slice(&reply.body)?)
+    }
+
+    fn known_listing(&self) -> Option<TaggedListing> {
+        let known = self.listing.lock();
+        known
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    fn keep_listing(&self, reply: &RawReply) -> Result<wire::HostListing> {
+        let listing = serde_json::from_slice::<wire::HostListing>(&reply.body)?;
+        let tagged = reply.tag.clone().map(|tag| TaggedListing {
+            tag,
+            listing: listing.clone(),
+        });
+        let mut known = self
+            .listing
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        *known = tagged;
+        Ok(listing)
     }
 
     fn object_uri(&self, name: &str) -> String {
         format!("http://{}{}{name}", self.object_api, wire::OBJECTS_PATH)
     }
 
-    async fn send(
-        &self,
-        request: http::request::Builder,
-        body: bytes::Bytes,
-        limit: Duration,
-    ) -> Result<RawReply> {
-        let request = request
-            .body(http_body_util::Full::new(body))
+    async fn send(&self, call: RawCall) -> Result<RawReply> {
+        let body_bytes = call.body.len();
+        let request = call
+            .request
+            .body(http_body_util::Full::new(call.body))
             .map_err(|_| PlatformError::Status(0))?;
+        let head_bytes = request.uri().to_string().len() + traffic::header_bytes(request.headers());
+        self.traffic.add_sent(call.kind, head_bytes + body_bytes);
         let exchange = async {
             let reply = self
                 .http
@@ -216,34 +276,32 @@
                 .await
                 .map_err(|_| PlatformError::Lost)?;
             let status = reply.status();
-            let version = version_of(reply.headers());
+            let head_bytes = traffic::header_bytes(reply.headers());
+            let tag = reply.headers().get(http::header::ETAG).cloned();
             let body = reply
                 .into_body()
                 .collect()
                 .await
-                .map_err(|_| PlatformError::Lost)?;
-            Ok(RawReply {
-                status,
-                version,
-                body: body.to_bytes(),
-            })
+                .map_err(|_| PlatformError::Lost)?
+                .to_bytes();
+            self.traffic
+                .add_received(call.kind, head_bytes + body.len());
+            Ok(RawReply { status, tag, body })
         };
-        tokio::time::timeout(limit, exchange)
+        tokio::time::timeout(call.limit, exchange)
             .await
             .map_err(|_| PlatformError::Lost)?
     }
 }
 
 fn found(reply: RawReply) -> Result<StoredObject> {
-    let version = reply
-        .version
-        .ok_or(PlatformError::Status(reply.status.as_u16()))?;
+    let version = version_of(&reply).ok_or(PlatformError::Status(reply.status.as_u16()))?;
     let value = String::from_utf8(reply.body.to_vec()).map_err(|_| PlatformError::Lost)?;
     Ok(StoredObject { version, value })
 }
 
-fn version_of(headers: &http::HeaderMap) -> Option<store::ObjectVersion> {
-    let text = headers.get(http::header::ETAG)?.to_str().ok()?;
+fn version_of(reply: &RawReply) -> Option<store::ObjectVersion> {
+    let text = reply.tag.as_ref()?.to_str().ok()?;
     let number = text.trim_matches('"').parse().ok()?;
     Some(store::ObjectVersion(number))
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,5 @@
 //! Clients of the platform: the object API and the host list.
 
 pub mod client;
+pub mod traffic;
 pub mod wire;
