--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -272,6 +272,7 @@
             host_list: *HOSTS.get_or_init(fleet::free_address),
         },
         limits: daemon_settings::LimitSettings::default(),
+        networks: daemon_settings::NetworkSettings::default(),
         log: daemon_settings::LogSettings {
             level: "off".to_owned(),
         },
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,6 @@
 //! The port for operators: health, readiness, metrics and status.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 
@@ -7,11 +8,14 @@
 use axum::routing;
 use model::config;
 use node::event;
+use settings::networks;
 use tokio::sync::mpsc;
 
 use crate::driver;
 use crate::metrics;
+use crate::reply;
 use crate::shared;
+use crate::traffic;
 
 /// What the port works with.
 #[derive(Clone)]
@@ -19,6 +23,8 @@
     pub shared: sync::Arc<shared::SharedState>,
     pub metrics: sync::Arc<metrics::NodeMetrics>,
     pub inputs: mpsc::Sender<driver::DriverInput>,
+    pub networks: sync::Arc<networks::NetworkList>,
+    pub control: sync::Arc<traffic::ControlTraffic>,
 }
 
 /// A configuration that an operator's command saw accepted.
@@ -40,9 +46,31 @@
         .route("/status", routing::get(status))
         .route("/config", routing::post(accept_config))
         .layer(axum::extract::DefaultBodyLimit::max(CONFIG_BYTES))
+        .layer(axum::middleware::from_fn_with_state(
+            state.clone(),
+            check_source,
+        ))
         .with_state(state)
 }
 
+/// Refuses calls from outside the networks of the settings.
+async fn check_source(
+    axum::extract::State(state): axum::extract::State<AdminState>,
+    axum::extract::ConnectInfo(source): axum::extract::ConnectInfo<net::SocketAddr>,
+    request: axum::extract::Request,
+    next: axum::middleware::Next,
+) -> axum::response::Response {
+    if state.networks.contains(source.ip()) {
+        return next.run(request).await;
+    }
+    let refused = &state.control.refused.admin_sources;
+    refused.fetch_add(1, atomic::Ordering::Relaxed);
+    let text = format!("{} lies in none of the networks for operators", source.ip());
+    let refusal =
+        reply::FrontRefusal::new(http::StatusCode::FORBIDDEN, "network_not_allowed", text);
+    refusal.respond(state.shared.ids.draw())
+}
+
 async fn ready(
     axum::extract::State(state): axum::extract::State<AdminState>,
 ) -> axum::response::Response {
@@ -65,7 +93,9 @@
 async fn status(
     axum::extract::State(state): axum::extract::State<AdminState>,
 ) -> axum::Json<shared::NodeStatus> {
-    axum::Json(state.shared.status())
+    let mut status = state.shared.status();
+    status.control = state.control.status();
+    axum::Json(status)
 }
 
 /// Takes a configuration that was accepted by the object API, so that it spreads even if the
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::front;
 use crate::logs;
 use crate::shared;
+use crate::traffic;
 use crate::watch;
 
 /// Time between two copies of the state for the ports.
@@ -73,6 +74,7 @@
     pub host: ids::HostId,
     pub platform: client::PlatformClient,
     pub links: peer::links::PeerLinks,
+    pub control: sync::Arc<traffic::ControlTraffic>,
     pub shared: sync::Arc<shared::SharedState>,
     pub inputs: mpsc::Sender<DriverInput>,
     pub exit: oneshot::Sender<()>,
@@ -87,6 +89,7 @@
     watch: Option<task::AbortHandle>,
     status_at: time::Instant,
     copied_version: config::ConfigVersion,
+    config_since: time::Instant,
 }
 
 impl NodeDriver {
@@ -101,6 +104,7 @@
             watch: None,
             status_at: time::Instant::now(),
             copied_version: config::ConfigVersion::default(),
+            config_since: time::Instant::now(),
         }
     }
 
@@ -141,6 +145,7 @@
             _lease: arrived.lease,
             parts: arrived.parts,
         };
+        logs::write_arrival(&head);
         // The queue is new and has room.
         let _ = entry.parts.try_send(caller::CallerPart::Accepted(id));
         self.callers.insert(id, entry);
@@ -201,6 +206,7 @@
 
     fn start_attempt(&mut self, order: action::AttemptOrder) {
         let attempt = order.attempt;
+        log::debug!(target: "sardinepaddle", "request: {} attempt {} on {}", attempt.request, attempt.number, order.endpoint);
         let Some(entry) = self.callers.get(&attempt.request) else {
             return;
         };
@@ -241,7 +247,7 @@
         let Some(entry) = self.callers.remove(&request) else {
             return;
         };
-        log::debug!(target: "sardinepaddle", "request: {request} {}", shared::outcome_name(&outcome));
+        logs::write_outcome(request, &outcome);
         tokio::spawn(async move {
             if let Some(part @ caller::CallerPart::Answer(_)) = payload {
                 // A caller that has gone needs no answer.
@@ -259,8 +265,11 @@
     }
 
     fn read_load(&self, endpoint: ids::EndpointId, address: std::net::SocketAddr) {
+        let control = self.parts.control.clone();
         self.spawn_event(async move {
-            let load = engine_client::load(address).await;
+            let reading = engine_client::load(address).await;
+            control.loads.add(reading.body_bytes);
+            let load = reading.load;
             Some(event::NodeEvent::LoadReported { endpoint, load })
         });
     }
@@ -325,6 +334,7 @@
             return;
         }
         self.copied_version = version;
+        self.config_since = time::Instant::now();
         let config = self.parts.machine.config();
         *self
             .parts
@@ -351,6 +361,9 @@
             members: machine.members(),
             kept: machine.kept_endpoints(),
             stats: machine.stats().clone(),
+            config_age_ms: u64::try_from(self.config_since.elapsed().as_millis())
+                .unwrap_or(u64::MAX),
+            control: traffic::ControlStatus::default(),
         };
         *shared
             .status
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -71,7 +71,12 @@
 ) -> axum::response::Response {
     match read(&state, request).await {
         Ok(reading) => answer(&state, reading).await,
-        Err(refusal) => refusal.respond(state.shared.ids.draw()),
+        Err(refusal) => {
+            let id = state.shared.ids.draw();
+            state.timings.front_refusal(refusal.reason);
+            log::debug!(target: "sardinepaddle", "request: {id} not_run: {}", refusal.reason);
+            refusal.respond(id)
+        }
     }
 }
 
@@ -517,7 +522,7 @@
         ended: false,
     };
     let first = parts.recv().await;
-    if matches!(form, AnswerForm::Stream { .. } | AnswerForm::Whole { .. }) {
+    if matches!(first, Some(caller::CallerPart::Text(_))) {
         state.timings.first_token(class, started.elapsed());
     }
     let answering = Answering { id, parts, guard };
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,8 +1,13 @@
 //! The log: short lines with a fixed prefix for each part.
 
+use model::ids;
+use model::outcome;
+use model::request;
 use node::action;
 use settings::daemon;
 
+use crate::shared;
+
 /// Why the log could not be set up.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub enum LogError {
@@ -36,8 +41,30 @@
     Ok(())
 }
 
+/// Writes a line for a request taken in: names and sizes, nothing of its content.
+pub(crate) fn write_arrival(head: &request::RequestHead) {
+    let request::RequestHead {
+        id,
+        service,
+        customer,
+        ..
+    } = head;
+    log::debug!(target: "sardinepaddle", "request: {id} arrived for {service} from {customer}, {}", head.class());
+}
+
+/// Writes a line for the end of a request.
+pub(crate) fn write_outcome(request: ids::RequestId, outcome: &outcome::RequestOutcome) {
+    let name = shared::outcome_name(outcome);
+    match shared::reason_name(outcome) {
+        Some(reason) => {
+            log::debug!(target: "sardinepaddle", "request: {request} {name}: {reason}");
+        }
+        None => log::debug!(target: "sardinepaddle", "request: {request} {name}"),
+    }
+}
+
 /// Writes a line for something that the state machine noted.
-pub(crate) fn write_note(host: &model::ids::HostId, note: &action::NodeNote) {
+pub(crate) fn write_note(host: &ids::HostId, note: &action::NodeNote) {
     match note {
         action::NodeNote::ConfigInForce { version } => {
             log::info!(target: "sardinepaddle", "config: [{host}] version {} in force", version.0);
@@ -61,10 +88,10 @@
             log::warn!(target: "sardinepaddle", "grant: [{host}] {endpoint} started anew");
         }
         action::NodeNote::StreamReclaimed { attempt } => {
-            log::info!(target: "sardinepaddle", "reclaim: [{host}] cancels {attempt} of a dead daemon");
+            log::info!(target: "sardinepaddle", "reclaim: [{host}] {} attempt {} of a dead daemon is cancelled", attempt.request, attempt.number);
         }
         action::NodeNote::AttemptLost { attempt, endpoint } => {
-            log::info!(target: "sardinepaddle", "retry: [{host}] {attempt} lost on {endpoint}");
+            log::info!(target: "sardinepaddle", "retry: [{host}] {} attempt {} lost on {endpoint}", attempt.request, attempt.number);
         }
         action::NodeNote::Draining => log::info!(target: "sardinepaddle", "drain: [{host}] begun"),
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,17 +1,21 @@
 //! Metrics by opentelemetry, scraped as Prometheus text.
 
 use std::sync;
-use std::sync::atomic;
 use std::time::Duration;
 
 use model::request;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics;
-use peer::traffic;
 use prometheus::Encoder;
 
 use crate::shared;
+use crate::traffic;
+
+/// Upper bounds of the histogram of times to the first token, in seconds.
+const FIRST_TOKEN_BOUNDS: [f64; 12] = [
+    0.05, 0.1, 0.2, 0.4, 0.77, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0, 300.0,
+];
 
 /// Why metrics could not be set up.
 #[derive(Debug, thiserror::Error)]
@@ -21,13 +25,35 @@
 /// Result of this module.
 pub(crate) type Result<T> = std::result::Result<T, MetricsError>;
 
-/// Times measured at the port for callers.
+/// What is measured at the port for callers.
 #[derive(Clone, Debug)]
 pub(crate) struct TimingMetrics {
     first_token: opentelemetry::metrics::Histogram<f64>,
+    refusals: opentelemetry::metrics::Counter<u64>,
 }
 
 impl TimingMetrics {
+    fn new(meter: &opentelemetry::metrics::Meter) -> Self {
+        let first_token = meter
+            .f64_histogram("time_to_first_token_seconds")
+            .with_description("Time from a request's arrival to the first piece of its answer")
+            .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
+            .build();
+        let refusals = meter
+            .u64_counter("front_refusals")
+            .with_description("Requests refused before they were taken in, by reason")
+            .build();
+        Self {
+            first_token,
+            refusals,
+        }
+    }
+
+    /// Counts a request refused before it was taken in.
+    pub fn front_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records the time to the first token.
     pub fn first_token(&self, class: request::SizeClass, span: Duration) {
         let labels = [KeyValue::new("class", class.to_string())];
@@ -46,7 +72,7 @@
     /// Sets metrics up over the state that the driver shares.
     pub fn new(
         shared: &sync::Arc<shared::SharedState>,
-        traffic: &sync::Arc<traffic::PeerTraffic>,
+        control: &sync::Arc<traffic::ControlTraffic>,
     ) -> Result<Self> {
         let registry = prometheus::Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
@@ -58,12 +84,10 @@
             .build();
         let meter = provider.meter("sardinepaddle");
         observe_stats(&meter, shared);
-        observe_traffic(&meter, traffic);
-        let first_token = meter
-            .f64_histogram("time_to_first_token_seconds")
-            .with_description("Time from a request's arrival to the first piece of its answer")
-            .build();
-        let timings = TimingMetrics { first_token };
+        observe_endpoints(&meter, shared);
+        observe_control(&meter, control);
+        observe_refused(&meter, control);
+        let timings = TimingMetrics::new(&meter);
         Ok(Self {
             registry,
             timings,
@@ -118,7 +142,6 @@
                 ("cancels", stats.cancels),
                 ("streams_reclaimed", stats.reclaimed),
                 ("peer_messages", stats.peer_messages),
-                ("store_calls", stats.store_calls),
             ];
             for (kind, count) in counts {
                 observer.observe(count, &[KeyValue::new("kind", kind)]);
@@ -132,6 +155,15 @@
         .with_callback(move |observer| observer.observe(source.status().version.0, &[]))
         .build();
     let source = shared.clone();
+    meter
+        .f64_observable_gauge("config_age_seconds")
+        .with_description("Time since the configuration in force came into force here")
+        .with_callback(move |observer| {
+            let age = Duration::from_millis(source.status().config_age_ms);
+            observer.observe(age.as_secs_f64(), &[]);
+        })
+        .build();
+    let source = shared.clone();
     meter
         .u64_observable_gauge("requests_in_flight")
         .with_description("Requests in flight")
@@ -146,20 +178,109 @@
     ]
 }
 
-fn observe_traffic(
+fn observe_endpoints(
     meter: &opentelemetry::metrics::Meter,
-    traffic: &sync::Arc<traffic::PeerTraffic>,
+    shared: &sync::Arc<shared::SharedState>,
 ) {
-    let source = traffic.clone();
+    let source = shared.clone();
+    meter
+        .u64_observable_gauge("endpoint_requests_in_flight")
+        .with_description("Requests on each endpoint that this daemon keeps")
+        .with_callback(move |observer| {
+            for kept in source.status().kept {
+                let labels = [KeyValue::new("endpoint", kept.endpoint.to_string())];
+                observer.observe(u64::from(kept.used_slots), &labels);
+            }
+        })
+        .build();
+    let source = shared.clone();
     meter
-        .u64_observable_counter("peer_bytes")
-        .with_description("Bytes of calls between daemons")
-        .with_unit("By")
+        .u64_observable_gauge("endpoint_carry")
+        .with_description("Requests that each kept endpoint has earned the right to carry")
         .with_callback(move |observer| {
-            let sent = source.sent_bytes.load(atomic::Ordering::Relaxed);
-            let received = source.received_bytes.load(atomic::Ordering::Relaxed);
-            observer.observe(sent, &[KeyValue::new("direction", "sent")]);
-            observer.observe(received, &[KeyValue::new("direction", "received")]);
+            for kept in source.status().kept {
+                let labels = [KeyValue::new("endpoint", kept.endpoint.to_string())];
+                observer.observe(u64::from(kept.carry), &labels);
+            }
+        })
+        .build();
+}
+
+fn observe_control(
+    meter: &opentelemetry::metrics::Meter,
+    control: &sync::Arc<traffic::ControlTraffic>,
+) {
+    let source = control.clone();
+    meter
+        .u64_observable_counter("control_bytes")
+        .with_description("Bytes of control traffic as TCP payload, by path and direction")
+        .with_callback(move |observer| {
+            let status = source.status();
+            let sum = |part: fn(&traffic::PlatformStatus) -> u64| {
+                status.platform.iter().map(part).sum::<u64>()
+            };
+            let counts = [
+                ("peers", "sent", status.peer_sent_bytes),
+                ("peers", "received", status.peer_received_bytes),
+                ("platform", "sent", sum(|kind| kind.sent_bytes)),
+                ("platform", "received", sum(|kind| kind.received_bytes)),
+                ("loads", "both", status.load_bytes),
+            ];
+            for (path, direction, bytes) in counts {
+                let path = KeyValue::new("path", path);
+                observer.observe(bytes, &[path, KeyValue::new("direction", direction)]);
+            }
+        })
+        .build();
+    let source = control.clone();
+    meter
+        .u64_observable_counter("store_calls")
+        .with_description("Calls to the platform by kind; a waiting watch counts as one")
+        .with_callback(move |observer| {
+            for kind in source.status().platform {
+                observer.observe(kind.calls, &[KeyValue::new("kind", kind.kind)]);
+            }
+        })
+        .build();
+    let source = control.clone();
+    meter
+        .u64_observable_counter("peer_calls")
+        .with_description("Calls between daemons, connections opened, and messages dropped")
+        .with_callback(move |observer| {
+            let status = source.status();
+            let counts = [
+                ("sent", status.peer_sent_calls),
+                ("received", status.peer_received_calls),
+                ("dials", status.peer_dials),
+                ("dropped", status.peer_dropped),
+            ];
+            for (kind, count) in counts {
+                observer.observe(count, &[KeyValue::new("kind", kind)]);
+            }
+        })
+        .build();
+}
+
+fn observe_refused(
+    meter: &opentelemetry::metrics::Meter,
+    control: &sync::Arc<traffic::ControlTraffic>,
+) {
+    let source = control.clone();
+    meter
+        .u64_observable_counter("connections_refused")
+        .with_description("Connections refused, by reason")
+        .with_callback(move |observer| {
+            let refused = &source.refused;
+            let counts = [
+                ("too_many_connections", &refused.total_limit),
+                ("too_many_connections_from_host", &refused.host_limit),
+                ("headers_too_slow", &refused.slow_headers),
+                ("admin_network_not_allowed", &refused.admin_sources),
+                ("peer_network_not_allowed", &source.peers.refused_sources),
+            ];
+            for (reason, count) in counts {
+                observer.observe(traffic::read(count), &[KeyValue::new("reason", reason)]);
+            }
         })
         .build();
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -3,9 +3,7 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
 
-use model::map;
 use node::event;
 use node::machine;
 use node::settings as node_settings;
@@ -19,23 +17,17 @@
 use crate::args;
 use crate::clock;
 use crate::driver;
+use crate::edge;
 use crate::front;
 use crate::logs;
 use crate::metrics;
 use crate::shared;
+use crate::traffic;
 
 /// Inputs that wait for the driver.
 const INPUT_QUEUE: usize = 16_384;
 /// Messages of peers that wait for the driver.
 const PEER_QUEUE: usize = 1_024;
-/// Largest request head read by the HTTP library, in bytes. Smaller heads that are too large
-/// by the settings get a typed refusal.
-const HEAD_BUFFER_BYTES: usize = 256 << 10;
-/// Time for open connections to finish after the last request.
-const CLOSE_LIMIT: Duration = Duration::from_secs(5);
-/// Pause after a failure to accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Why a daemon could not run.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub enum RunError {
@@ -143,14 +135,22 @@
     logs::init(&settings.log)?;
     let shared = sync::Arc::new(shared::SharedState::default());
     let traffic = sync::Arc::new(peer::traffic::PeerTraffic::default());
-    let metrics = metrics::NodeMetrics::new(&shared, &traffic);
+    let platform =
+        client::PlatformClient::new(settings.platform.object_api, settings.platform.host_list);
+    let control = sync::Arc::new(traffic::ControlTraffic {
+        peers: traffic.clone(),
+        platform: platform.traffic().clone(),
+        loads: traffic::LoadTraffic::default(),
+        refused: traffic::RefusedConnections::default(),
+    });
+    let metrics = metrics::NodeMetrics::new(&shared, &control);
     let metrics = metrics.map_err(|error| RunError::Metrics(error.to_string()))?;
     let (inputs, received) = mpsc::channel(INPUT_QUEUE);
     let (exit, exited) = oneshot::channel();
     let callers = bind(settings.listen.callers).await?;
     let operators = bind(settings.listen.admin).await?;
     let peer_inbox = pass_peers(inputs.clone());
-    let peers = peer::server::serve(settings.listen.peers, peer_inbox, traffic.clone()).await?;
+    let peers = peer::server::serve(peer_port(&settings, peer_inbox, &traffic)).await?;
 
     let front = front::router(front::FrontState {
         shared: shared.clone(),
@@ -162,15 +162,19 @@
         shared: shared.clone(),
         metrics: sync::Arc::new(metrics),
         inputs: inputs.clone(),
+        networks: sync::Arc::new(settings.networks.admin.clone()),
+        control: control.clone(),
     });
-    let driver = driver::NodeDriver::new(driver_parts(&settings, &shared, traffic, &inputs, exit));
+    let parts = driver_parts(&settings, &shared, platform, &control, &inputs, exit);
+    let driver = driver::NodeDriver::new(parts);
     let driving = tokio::spawn(driver.run(received));
     let (close, closed) = tokio::sync::watch::channel(false);
-    let limits = settings.limits.clone();
-    let fronting = tokio::spawn(accept(callers, front, limits, closed));
+    let edge = edge::CallerEdge::new(front, settings.limits.clone(), &shared, control);
+    let fronting = tokio::spawn(edge.accept(callers, closed));
     let operating = tokio::spawn(async move {
         // The listener fails only if the process is out of file descriptors for good.
-        let _ = axum::serve(operators, admin).await;
+        let service = admin.into_make_service_with_connect_info::<net::SocketAddr>();
+        let _ = axum::serve(operators, service).await;
     });
     log::info!(target: "sardinepaddle", "daemon: [{}] listens on {}", settings.host, settings.listen.callers);
     let done = tokio::spawn(async move {
@@ -191,7 +195,8 @@
 fn driver_parts(
     settings: &daemon::DaemonSettings,
     shared: &sync::Arc<shared::SharedState>,
-    traffic: sync::Arc<peer::traffic::PeerTraffic>,
+    platform: client::PlatformClient,
+    control: &sync::Arc<traffic::ControlTraffic>,
     inputs: &mpsc::Sender<driver::DriverInput>,
     exit: oneshot::Sender<()>,
 ) -> driver::DriverParts {
@@ -221,17 +226,29 @@
         machine: machine::NodeMachine::new(node, clock.now()),
         clock,
         host: settings.host.clone(),
-        platform: client::PlatformClient::new(
-            settings.platform.object_api,
-            settings.platform.host_list,
-        ),
-        links: peer::links::PeerLinks::new(traffic),
+        platform,
+        links: peer::links::PeerLinks::new(control.peers.clone()),
+        control: control.clone(),
         shared: shared.clone(),
         inputs: inputs.clone(),
         exit,
     }
 }
 
+fn peer_port(
+    settings: &daemon::DaemonSettings,
+    inbox: mpsc::Sender<model::peer::PeerEnvelope>,
+    traffic: &sync::Arc<peer::traffic::PeerTraffic>,
+) -> peer::server::PeerPort {
+    let networks = settings.networks.peers.clone();
+    peer::server::PeerPort {
+        address: settings.listen.peers,
+        inbox,
+        traffic: traffic.clone(),
+        admits: Box::new(move |source| networks.contains(source)),
+    }
+}
+
 async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener> {
     let listener = tokio::net::TcpListener::bind(address).await;
     listener.map_err(|source| RunError::Listen { address, source })
@@ -251,89 +268,3 @@
     });
     sender
 }
-
-/// Connections open, by the caller's address.
-type ConnectionCounts = sync::Arc<sync::Mutex<map::HashMap<net::IpAddr, usize>>>;
-
-/// Counts one connection for as long as it lives.
-struct ConnectionLease {
-    counts: ConnectionCounts,
-    address: net::IpAddr,
-}
-
-impl ConnectionLease {
-    fn take(
-        counts: &ConnectionCounts,
-        address: net::IpAddr,
-        limits: &daemon::LimitSettings,
-    ) -> Option<Self> {
-        let mut table = counts.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        let total = table.values().sum::<usize>();
-        let own = table.get(&address).copied().unwrap_or(0);
-        if total >= limits.connections || own >= limits.connections_per_host {
-            return None;
-        }
-        table.insert(address, own + 1);
-        Some(Self {
-            counts: counts.clone(),
-            address,
-        })
-    }
-}
-
-impl Drop for ConnectionLease {
-    fn drop(&mut self) {
-        let mut table = self
-            .counts
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(count) = table.get_mut(&self.address) {
-            *count -= 1;
-            if *count == 0 {
-                table.remove(&self.address);
-            }
-        }
-    }
-}
-
-/// Takes callers' connections until told to close, then lets the open ones finish.
-async fn accept(
-    listener: tokio::net::TcpListener,
-    router: axum::Router,
-    limits: daemon::LimitSettings,
-    mut closed: tokio::sync::watch::Receiver<bool>,
-) {
-    let counts = ConnectionCounts::default();
-    let graceful = hyper_util::server::graceful::GracefulShutdown::new();
-    let mut builder = hyper::server::conn::http1::Builder::new();
-    builder
-        .timer(hyper_util::rt::TokioTimer::new())
-        .header_read_timeout(limits.header_read())
-        .max_buf_size(HEAD_BUFFER_BYTES);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closed.changed() => break,
-        };
-        let Ok((stream, address)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let Some(lease) = ConnectionLease::take(&counts, address.ip(), &limits) else {
-            continue;
-        };
-        // Only latency suffers if the option cannot be set.
-        let _ = stream.set_nodelay(true);
-        let service = hyper_util::service::TowerToHyperService::new(router.clone());
-        let connection = builder.serve_connection(hyper_util::rt::TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A broken connection concerns only its caller, who is told by its guard.
-            let _ = connection.await;
-            drop(lease);
-        });
-    }
-    drop(listener);
-    // What is still open after this has no request in flight.
-    let _ = tokio::time::timeout(CLOSE_LIMIT, graceful.shutdown()).await;
-}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -12,6 +12,8 @@
 use node::stats;
 use serde::Serialize;
 
+use crate::traffic;
+
 /// A copy of the state machine's public state, renewed by the driver.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct NodeStatus {
@@ -23,6 +25,9 @@
     pub members: Vec<peer::MemberUpdate>,
     pub kept: Vec<machine::KeptEndpoint>,
     pub stats: stats::NodeStats,
+    /// Time since this version came into force, in milliseconds.
+    pub config_age_ms: u64,
+    pub control: traffic::ControlStatus,
 }
 
 /// State shared between the driver and the ports.
@@ -85,3 +90,13 @@
         outcome::RequestOutcome::Unknown { .. } => "unknown",
     }
 }
+
+/// The reason of an outcome that is not an answer.
+pub(crate) fn reason_name(outcome: &outcome::RequestOutcome) -> Option<String> {
+    match outcome {
+        outcome::RequestOutcome::Answered | outcome::RequestOutcome::Replayed { .. } => None,
+        outcome::RequestOutcome::NotRun { reason, .. } => Some(reason.to_string()),
+        outcome::RequestOutcome::Failed { reason, .. }
+        | outcome::RequestOutcome::Unknown { reason, .. } => Some(reason.to_string()),
+    }
+}
--- a/crates/fakes/src/args.rs
+++ b/crates/fakes/src/args.rs
@@ -6,12 +6,16 @@
 use std::path;
 use std::time::Duration;
 
+use crate::control;
 use crate::engine;
 use crate::hosts;
 use crate::plain;
 use crate::proxy;
 use crate::store;
 
+/// Threads of a stand-in.
+const WORKER_THREADS: usize = 2;
+
 /// Stand-ins for what sardinepaddle works with.
 #[derive(Clone, Debug, clap::Parser)]
 #[command(name = "sardinepaddle-fakes")]
@@ -55,6 +59,8 @@
         #[arg(long, default_value_t = 0)]
         lag_ms: u64,
     },
+    /// Measures the cost of control of fleets of real daemons, and fits slopes.
+    Control(control::ControlArgs),
     /// A link that can be made faulty by `POST /fault` on its control address.
     Proxy {
         /// Address to listen on.
@@ -73,7 +79,7 @@
     /// Runs the stand-in until the process is ended.
     pub fn run(self) -> io::Result<()> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKER_THREADS)
             .enable_all()
             .build()?;
         runtime.block_on(serve(self.command))
@@ -89,6 +95,7 @@
             };
             engine::FakeEngine::start(listen, model).await?.wait().await;
         }
+        FakeCommand::Control(args) => control::run(&args).await?,
         FakeCommand::Plain { listen } => plain::FakePlain::start(listen).await?.wait().await,
         FakeCommand::Store { listen } => store::FakeStore::start(listen).await?.wait().await,
         FakeCommand::Hosts {
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -19,6 +19,7 @@
 
 use crate::caller;
 use crate::engine;
+use crate::hosts;
 use crate::plain;
 use crate::process;
 use crate::proxy;
@@ -63,6 +64,10 @@
     pub plains: Vec<String>,
     /// Limits of the daemons towards callers.
     pub limits: daemon::LimitSettings,
+    /// Networks that the daemons' ports for peers and operators take.
+    pub networks: daemon::NetworkSettings,
+    /// Least level that the daemons log.
+    pub log_level: String,
 }
 
 impl FleetPlan {
@@ -81,6 +86,8 @@
             },
             plains: centres[..1].to_vec(),
             limits: daemon::LimitSettings::default(),
+            networks: daemon::NetworkSettings::default(),
+            log_level: "debug".to_owned(),
         }
     }
 }
@@ -374,6 +381,37 @@
         .await
     }
 
+    /// Sets whether the host list tags its listings.
+    pub async fn set_hosts_tagged(&self, tagged: bool) -> bool {
+        let put = http::Method::PUT;
+        caller::send_json(self.hosts_address, put, "/fake/tagged", &tagged).await
+    }
+
+    /// Lists so many hosts besides the daemons; nobody answers at their addresses.
+    pub async fn list_strangers(&self, count: usize) -> bool {
+        let own = self.daemons.iter().map(host_entry);
+        let strangers = (0..count).map(|index| peer::HostEntry {
+            host: ids::HostId::new(&format!("stranger-{index:03}")),
+            data_centre: self.daemons[0].settings.data_centre.clone(),
+            peer_address: free_address(),
+            admin_address: free_address(),
+            leaving: false,
+        });
+        let listing = wire::HostListing {
+            hosts: own.chain(strangers).collect(),
+            leaving_endpoints: Vec::new(),
+        };
+        let put = http::Method::PUT;
+        caller::send_json(self.hosts_address, put, "/fake/listing", &listing).await
+    }
+
+    /// What the host list answered.
+    pub async fn hosts_witness(&self) -> hosts::HostsWitness {
+        caller::get_json(self.hosts_address, "/fake/witness")
+            .await
+            .unwrap_or_default()
+    }
+
     /// Calls that the object API counted.
     pub async fn store_witness(&self) -> store::StoreWitness {
         caller::get_json(self.store_address, "/fake/witness")
@@ -469,8 +507,9 @@
             host_list: hosts,
         },
         limits: plan.limits.clone(),
+        networks: plan.networks.clone(),
         log: daemon::LogSettings {
-            level: "debug".to_owned(),
+            level: plan.log_level.clone(),
         },
         seed: Some(index as u64),
     };
@@ -485,18 +524,22 @@
     })
 }
 
-fn start_hosts(
-    folder: &tempfile::TempDir,
-    daemons: &[DaemonUnit],
-    address: net::SocketAddr,
-) -> io::Result<process::TestProcess> {
-    let hosts = daemons.iter().map(|unit| peer::HostEntry {
+fn host_entry(unit: &DaemonUnit) -> peer::HostEntry {
+    peer::HostEntry {
         host: unit.settings.host.clone(),
         data_centre: unit.settings.data_centre.clone(),
         peer_address: unit.peer_link.address(),
         admin_address: unit.settings.listen.admin,
         leaving: false,
-    });
+    }
+}
+
+fn start_hosts(
+    folder: &tempfile::TempDir,
+    daemons: &[DaemonUnit],
+    address: net::SocketAddr,
+) -> io::Result<process::TestProcess> {
+    let hosts = daemons.iter().map(host_entry);
     let listing = wire::HostListing {
         hosts: hosts.collect(),
         leaving_endpoints: Vec::new(),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod args;
 pub mod caller;
+pub mod control;
 pub mod engine;
 pub mod fleet;
 pub mod hosts;
--- a/crates/node/benches/state_bytes.rs
+++ b/crates/node/benches/state_bytes.rs
@@ -1,1 +1,1 @@
-fn main(){}
+fn main() {}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod links;
 pub mod server;
 pub mod traffic;
+
+mod stream;
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time::Duration;
 
 use jsonrpsee::core::client::ClientT;
@@ -14,6 +13,7 @@
 use tokio::time;
 
 use crate::server;
+use crate::stream;
 use crate::traffic;
 
 /// Messages that wait for one peer; more are dropped.
@@ -24,8 +24,6 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(750);
 /// Time after which an unused link is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// Bytes of a call around its parameters.
-const CALL_OVERHEAD_BYTES: usize = 64;
 
 /// Links to all peers spoken to of late.
 #[derive(Debug)]
@@ -95,21 +93,14 @@
     to: net::SocketAddr,
     client: &mut Option<ws_client::WsClient>,
     batch: &[peer::PeerEnvelope],
-    traffic: &traffic::PeerTraffic,
+    traffic: &sync::Arc<traffic::PeerTraffic>,
 ) -> bool {
-    let Ok(text) = serde_json::to_string(&[batch]) else {
-        return false;
-    };
     if client.as_ref().is_none_or(|client| !client.is_connected()) {
-        *client = dial(to).await;
+        *client = dial(to, traffic).await;
     }
     let Some(client) = client else {
         return false;
     };
-    let bytes = text.len() + CALL_OVERHEAD_BYTES;
-    traffic
-        .sent_bytes
-        .fetch_add(bytes as u64, atomic::Ordering::Relaxed);
     traffic::PeerTraffic::add(&traffic.sent_calls, 1);
     let mut params = params::ArrayParams::new();
     if params.insert(batch).is_err() {
@@ -119,10 +110,20 @@
     matches!(time::timeout(REPLY_LIMIT, call).await, Ok(Ok(true)))
 }
 
-async fn dial(to: net::SocketAddr) -> Option<ws_client::WsClient> {
-    let client = ws_client::WsClientBuilder::default()
+async fn dial(
+    to: net::SocketAddr,
+    traffic: &sync::Arc<traffic::PeerTraffic>,
+) -> Option<ws_client::WsClient> {
+    traffic::PeerTraffic::add(&traffic.dials, 1);
+    let builder = ws_client::WsClientBuilder::default()
         .connection_timeout(REPLY_LIMIT)
-        .request_timeout(REPLY_LIMIT)
-        .build(format!("ws://{to}"));
-    time::timeout(REPLY_LIMIT, client).await.ok()?.ok()
+        .request_timeout(REPLY_LIMIT);
+    let building = async {
+        let stream = tokio::net::TcpStream::connect(to).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let stream = stream::CountedStream::new(stream, traffic.clone());
+        let client = builder.build_with_stream(format!("ws://{to}"), stream);
+        client.await.ok()
+    };
+    time::timeout(REPLY_LIMIT, building).await.ok().flatten()
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -2,12 +2,15 @@
 
 use std::net;
 use std::sync;
+use std::time::Duration;
 
 use jsonrpsee::server;
 use jsonrpsee::types;
 use model::peer;
 use tokio::sync::mpsc;
+use tokio::time;
 
+use crate::stream;
 use crate::traffic;
 
 /// Name of the method that takes messages.
@@ -16,6 +19,8 @@
 const MOST_CONNECTIONS: u32 = 1_024;
 /// Largest call, in bytes.
 const CALL_BYTES: u32 = 4 << 20;
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why the server could not start.
 #[derive(Debug, thiserror::Error)]
@@ -37,27 +42,70 @@
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, ServerError>;
 
-/// Listens for messages and passes them to `inbox`. Ends when the handle is dropped.
-pub async fn serve(
-    address: net::SocketAddr,
-    inbox: mpsc::Sender<peer::PeerEnvelope>,
-    traffic: sync::Arc<traffic::PeerTraffic>,
-) -> Result<server::ServerHandle> {
+/// Where and from whom messages are taken.
+pub struct PeerPort {
+    /// Address to listen on.
+    pub address: net::SocketAddr,
+    /// Takes the messages.
+    pub inbox: mpsc::Sender<peer::PeerEnvelope>,
+    /// Counts of bytes and calls.
+    pub traffic: sync::Arc<traffic::PeerTraffic>,
+    /// Whether connections from an address are taken; others are closed at once.
+    pub admits: Box<dyn Fn(net::IpAddr) -> bool + Send>,
+}
+
+/// Listens for messages until the handle is stopped or dropped.
+pub async fn serve(port: PeerPort) -> Result<server::ServerHandle> {
+    let address = port.address;
+    let listener = tokio::net::TcpListener::bind(address).await;
+    let listener = listener.map_err(|source| ServerError::Bind { address, source })?;
+    let mut module = server::RpcModule::new(port.inbox.clone());
+    let traffic = port.traffic.clone();
+    module.register_async_method(DELIVER_METHOD, move |params, inbox, _| {
+        let traffic = traffic.clone();
+        async move { deliver(&params, &inbox, &traffic).await }
+    })?;
+    let (stop, handle) = server::stop_channel();
+    tokio::spawn(accept(listener, port, module.into(), stop));
+    Ok(handle)
+}
+
+async fn accept(
+    listener: tokio::net::TcpListener,
+    port: PeerPort,
+    methods: server::Methods,
+    stop: server::StopHandle,
+) {
     let config = server::ServerConfig::builder()
         .max_connections(MOST_CONNECTIONS)
         .max_request_body_size(CALL_BYTES)
         .build();
-    let server = server::Server::builder()
+    let builder = server::Server::builder()
         .set_config(config)
-        .build(address)
-        .await;
-    let server = server.map_err(|source| ServerError::Bind { address, source })?;
-    let mut module = server::RpcModule::new(inbox);
-    module.register_async_method(DELIVER_METHOD, move |params, inbox, _| {
-        let traffic = traffic.clone();
-        async move { deliver(&params, &inbox, &traffic).await }
-    })?;
-    Ok(server.start(module))
+        .to_service_builder();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.clone().shutdown() => return,
+        };
+        let Ok((stream, source)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if !(port.admits)(source.ip()) {
+            traffic::PeerTraffic::add(&port.traffic.refused_sources, 1);
+            continue;
+        }
+        // Only latency suffers if the option cannot be set.
+        let _ = stream.set_nodelay(true);
+        let stream = stream::CountedStream::new(stream, port.traffic.clone());
+        let service = builder.clone().build(methods.clone(), stop.clone());
+        let stopped = stop.clone().shutdown();
+        tokio::spawn(async move {
+            // A broken connection is dialled anew by its peer.
+            let _ = server::serve_with_graceful_shutdown(stream, service, stopped).await;
+        });
+    }
 }
 
 async fn deliver(
@@ -65,8 +113,6 @@
     inbox: &mpsc::Sender<peer::PeerEnvelope>,
     traffic: &traffic::PeerTraffic,
 ) -> std::result::Result<bool, types::ErrorObjectOwned> {
-    let bytes = params.as_str().map_or(0, str::len);
-    traffic::PeerTraffic::add(&traffic.received_bytes, bytes);
     traffic::PeerTraffic::add(&traffic.received_calls, 1);
     let envelopes = params.one::<Vec<peer::PeerEnvelope>>()?;
     for envelope in envelopes {
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -2,19 +2,23 @@
 
 use std::sync::atomic;
 
-/// Bytes and calls since the start.
+/// Bytes, calls and connections since the start.
 #[derive(Debug, Default)]
 pub struct PeerTraffic {
-    /// Bytes of calls sent, as JSON text.
+    /// Bytes sent as TCP payload: handshakes, frames, calls and replies.
     pub sent_bytes: atomic::AtomicU64,
     /// Calls sent.
     pub sent_calls: atomic::AtomicU64,
-    /// Bytes of calls received, as JSON text.
+    /// Bytes received as TCP payload.
     pub received_bytes: atomic::AtomicU64,
     /// Calls received.
     pub received_calls: atomic::AtomicU64,
+    /// Connections opened to peers.
+    pub dials: atomic::AtomicU64,
     /// Messages dropped because a queue was full or a peer did not answer.
     pub dropped: atomic::AtomicU64,
+    /// Connections refused because of their source address.
+    pub refused_sources: atomic::AtomicU64,
 }
 
 impl PeerTraffic {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -238,9 +238,7 @@
 
     fn known_listing(&self) -> Option<TaggedListing> {
         let known = self.listing.lock();
-        known
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .clone()
+        known.unwrap_or_else(sync::PoisonError::into_inner).clone()
     }
 
     fn keep_listing(&self, reply: &RawReply) -> Result<wire::HostListing> {
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -6,6 +6,8 @@
 use model::ids;
 use serde::{Deserialize, Serialize};
 
+use crate::networks;
+
 /// Settings of one daemon.
 ///
 /// ```
@@ -32,6 +34,9 @@
     /// Limits towards callers.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Networks from which the ports for peers and operators take connections.
+    #[serde(default)]
+    pub networks: NetworkSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -65,6 +70,16 @@
     pub host_list: net::SocketAddr,
 }
 
+/// Networks from which ports take connections. The default is loopback and private networks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NetworkSettings {
+    /// For the port for peers.
+    pub peers: networks::NetworkList,
+    /// For the port for operators.
+    pub admin: networks::NetworkList,
+}
+
 /// Limits towards callers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod daemon;
 pub mod load;
+pub mod networks;
