--- a/crates/fakes/src/args.rs
+++ b/crates/fakes/src/args.rs
@@ -11,6 +11,8 @@
 use crate::hosts;
 use crate::plain;
 use crate::proxy;
+use crate::scenario::run;
+use crate::scenario::spec;
 use crate::store;
 
 /// Threads of a stand-in.
@@ -40,6 +42,9 @@
         /// Address to listen on.
         #[arg(long)]
         listen: net::SocketAddr,
+        /// File in which it notes what it ran, so that a restart does not forget it.
+        #[arg(long)]
+        journal: Option<path::PathBuf>,
     },
     /// The object API.
     Store {
@@ -73,6 +78,11 @@
         #[arg(long)]
         control: net::SocketAddr,
     },
+    /// Runs one scenario against processes of its own.
+    Scenario {
+        /// The scenario (YAML).
+        file: path::PathBuf,
+    },
 }
 
 impl FakeArgs {
@@ -96,7 +106,10 @@
             engine::FakeEngine::start(listen, model).await?.wait().await;
         }
         FakeCommand::Control(args) => control::run(&args).await?,
-        FakeCommand::Plain { listen } => plain::FakePlain::start(listen).await?.wait().await,
+        FakeCommand::Plain { listen, journal } => {
+            let plain = plain::FakePlain::start(listen, journal.as_deref()).await?;
+            plain.wait().await;
+        }
         FakeCommand::Store { listen } => store::FakeStore::start(listen).await?.wait().await,
         FakeCommand::Hosts {
             listen,
@@ -118,6 +131,11 @@
             let proxy = proxy::FaultProxy::start(listen, to).await?;
             proxy.serve_control(control).await?.wait().await;
         }
+        FakeCommand::Scenario { file } => {
+            let scenario = spec::read(&file).map_err(io::Error::other)?;
+            run::run(&scenario).await.map_err(io::Error::other)?;
+            println!("{} holds", file.display());
+        }
     }
     Ok(())
 }
