Answer peers in the reply to their call, with short names on the wire

Cause: at 9 daemons and 8 prompts a second each, a daemon moved 17.3 KB/s of control bytes and used 4.56% of a core; every ask and every probe was answered by a call over a second connection, dialled anew once a fleet has more than some thirty daemons. Ruled out: the host list (18 B/s with tags, 10.6 KB/s without at 380 entries), the watch and the load polls (146 B/s there) are not what grows with requests. Change: what a daemon sends to the caller of a call while it takes it goes back as the reply. Messages of requests and probes have short names on the wire.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -40,6 +40,8 @@
         event: event::NodeEvent,
         payload: Option<caller::CallerPart>,
     },
+    /// Messages of a peer.
+    Delivered(peer::server::PeerDelivery),
     /// A caller's request.
     Arrived(caller::ArrivedRequest),
 }
@@ -90,6 +92,9 @@
     status_at: time::Instant,
     copied_version: config::ConfigVersion,
     config_since: time::Instant,
+    /// Peer whose call is being taken, and what goes back in its reply.
+    answering: Option<std::net::SocketAddr>,
+    answers: Vec<model::peer::PeerEnvelope>,
 }
 
 impl NodeDriver {
@@ -105,6 +110,8 @@
             status_at: time::Instant::now(),
             copied_version: config::ConfigVersion::default(),
             config_since: time::Instant::now(),
+            answering: None,
+            answers: Vec::new(),
         }
     }
 
@@ -127,10 +134,34 @@
     fn take(&mut self, input: DriverInput) {
         match input {
             DriverInput::Event { event, payload } => self.step(event, payload),
+            DriverInput::Delivered(delivery) => self.receive(delivery),
             DriverInput::Arrived(arrived) => self.admit(arrived),
         }
     }
 
+    /// Takes a peer's messages; what goes back to it at once goes as the reply to its call.
+    fn receive(&mut self, delivery: peer::server::PeerDelivery) {
+        let reply_to = delivery.envelopes.first().map(|first| first.reply_to);
+        self.answering = reply_to.filter(|_| delivery.answers.is_some());
+        for envelope in delivery.envelopes {
+            self.step(event::NodeEvent::PeerReceived { envelope }, None);
+        }
+        self.answering = None;
+        let envelopes = std::mem::take(&mut self.answers);
+        if let Some(answers) = delivery.answers {
+            // A peer that has given up its call asks again.
+            let _ = answers.send(envelopes);
+        }
+    }
+
+    fn send_peer(&mut self, to: std::net::SocketAddr, envelope: model::peer::PeerEnvelope) {
+        if self.answering == Some(to) {
+            self.answers.push(envelope);
+        } else {
+            self.parts.links.send(to, envelope);
+        }
+    }
+
     fn admit(&mut self, arrived: caller::ArrivedRequest) {
         let id = self.parts.shared.ids.draw();
         let head = request::RequestHead {
@@ -172,7 +203,7 @@
 
     fn carry_out(&mut self, action: action::NodeAction, payload: &mut Option<caller::CallerPart>) {
         match action {
-            action::NodeAction::SendPeer { to, envelope } => self.parts.links.send(to, envelope),
+            action::NodeAction::SendPeer { to, envelope } => self.send_peer(to, envelope),
             action::NodeAction::StartAttempt(order) => self.start_attempt(order),
             action::NodeAction::DropAttempt { attempt } => {
                 if let Some(handle) = self.attempts.remove(&attempt) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -150,7 +150,7 @@
     let callers = bind(settings.listen.callers).await?;
     let operators = bind(settings.listen.admin).await?;
     let peer_inbox = pass_peers(inputs.clone());
-    let peers = peer::server::serve(peer_port(&settings, peer_inbox, &traffic)).await?;
+    let peers = peer::server::serve(peer_port(&settings, peer_inbox.clone(), &traffic)).await?;
 
     let front = front::router(front::FrontState {
         shared: shared.clone(),
@@ -165,7 +165,8 @@
         networks: sync::Arc::new(settings.networks.admin.clone()),
         control: control.clone(),
     });
-    let parts = driver_parts(&settings, &shared, platform, &control, &inputs, exit);
+    let links = peer::links::PeerLinks::new(peer_inbox, traffic);
+    let parts = driver_parts(&settings, &shared, platform, links, &control, &inputs, exit);
     let driver = driver::NodeDriver::new(parts);
     let driving = tokio::spawn(driver.run(received));
     let (close, closed) = tokio::sync::watch::channel(false);
@@ -196,6 +197,7 @@
     settings: &daemon::DaemonSettings,
     shared: &sync::Arc<shared::SharedState>,
     platform: client::PlatformClient,
+    links: peer::links::PeerLinks,
     control: &sync::Arc<traffic::ControlTraffic>,
     inputs: &mpsc::Sender<driver::DriverInput>,
     exit: oneshot::Sender<()>,
@@ -227,7 +229,7 @@
         clock,
         host: settings.host.clone(),
         platform,
-        links: peer::links::PeerLinks::new(control.peers.clone()),
+        links,
         control: control.clone(),
         shared: shared.clone(),
         inputs: inputs.clone(),
@@ -237,7 +239,7 @@
 
 fn peer_port(
     settings: &daemon::DaemonSettings,
-    inbox: mpsc::Sender<model::peer::PeerEnvelope>,
+    inbox: mpsc::Sender<peer::server::PeerDelivery>,
     traffic: &sync::Arc<peer::traffic::PeerTraffic>,
 ) -> peer::server::PeerPort {
     let networks = settings.networks.peers.clone();
@@ -256,11 +258,11 @@
 
 fn pass_peers(
     inputs: mpsc::Sender<driver::DriverInput>,
-) -> mpsc::Sender<model::peer::PeerEnvelope> {
-    let (sender, mut envelopes) = mpsc::channel(PEER_QUEUE);
+) -> mpsc::Sender<peer::server::PeerDelivery> {
+    let (sender, mut deliveries) = mpsc::channel(PEER_QUEUE);
     tokio::spawn(async move {
-        while let Some(envelope) = envelopes.recv().await {
-            let input = driver::DriverInput::event(event::NodeEvent::PeerReceived { envelope });
+        while let Some(delivery) = deliveries.recv().await {
+            let input = driver::DriverInput::Delivered(delivery);
             if inputs.send(input).await.is_err() {
                 return;
             }
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -1,4 +1,7 @@
 //! Messages between daemons.
+//!
+//! Those sent for each request and each probe have short names on the wire, since bytes for
+//! control are bounded.
 
 use std::net;
 use std::sync;
@@ -57,12 +60,16 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerEnvelope {
     /// The sender's host.
+    #[serde(rename = "f")]
     pub from: ids::HostId,
     /// The sender's life.
+    #[serde(rename = "i")]
     pub incarnation: ids::NodeIncarnation,
     /// The sender's address for messages, so that strangers can be answered.
+    #[serde(rename = "r")]
     pub reply_to: net::SocketAddr,
     /// The message.
+    #[serde(rename = "m")]
     pub message: PeerMessage,
 }
 
@@ -71,21 +78,29 @@
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
     /// Asks for a [`PeerMessage::ProbeReply`].
+    #[serde(rename = "p")]
     Probe {
         /// Matches the reply.
+        #[serde(rename = "n")]
         number: u64,
         /// The sender's configuration version.
+        #[serde(rename = "v")]
         version: config::ConfigVersion,
         /// News of members.
+        #[serde(rename = "u")]
         updates: Vec<MemberUpdate>,
     },
     /// Answers a [`PeerMessage::Probe`].
+    #[serde(rename = "pr")]
     ProbeReply {
         /// Number of the probe.
+        #[serde(rename = "n")]
         number: u64,
         /// The sender's configuration version.
+        #[serde(rename = "v")]
         version: config::ConfigVersion,
         /// News of members.
+        #[serde(rename = "u")]
         updates: Vec<MemberUpdate>,
     },
     /// Asks the receiver to probe `target` on the sender's behalf.
@@ -108,36 +123,51 @@
         config: sync::Arc<config::FleetConfig>,
     },
     /// Asks the keeper of an endpoint for the right to send one attempt.
+    #[serde(rename = "ga")]
     GrantAsk {
         /// The endpoint.
+        #[serde(rename = "e")]
         endpoint: ids::EndpointId,
         /// The attempt to be sent.
+        #[serde(rename = "a")]
         attempt: ids::AttemptId,
         /// Size class of its request.
+        #[serde(rename = "c")]
         class: request::SizeClass,
         /// Engine memory that it may come to hold, in tokens.
+        #[serde(rename = "t")]
         tokens: u64,
     },
     /// Answers a [`PeerMessage::GrantAsk`].
+    #[serde(rename = "gr")]
     GrantReply {
         /// The endpoint.
+        #[serde(rename = "e")]
         endpoint: ids::EndpointId,
         /// The attempt.
+        #[serde(rename = "a")]
         attempt: ids::AttemptId,
         /// Whether it may be sent.
+        #[serde(rename = "v")]
         verdict: GrantVerdict,
         /// Free slots left for the class of the request.
+        #[serde(rename = "s")]
         free_slots: u32,
         /// Free memory left for the class of the request, in tokens.
+        #[serde(rename = "t")]
         free_tokens: u64,
     },
     /// Returns a grant.
+    #[serde(rename = "gt")]
     GrantReturn {
         /// The endpoint.
+        #[serde(rename = "e")]
         endpoint: ids::EndpointId,
         /// The attempt.
+        #[serde(rename = "a")]
         attempt: ids::AttemptId,
         /// How it was used.
+        #[serde(rename = "u")]
         usage: GrantUsage,
     },
     /// Asks the owner of a claim shard to record a claim.
--- a/crates/node/benches/common/mod.rs
+++ b/crates/node/benches/common/mod.rs
@@ -70,7 +70,8 @@
     }
 }
 
-fn fleet_config(size: FleetSize) -> config::FleetConfig {
+/// A configuration with so many endpoints.
+pub fn fleet_config(size: FleetSize) -> config::FleetConfig {
     let mut fleet = config::FleetConfig::default();
     for centre in [OWN_CENTRE, FAR_CENTRE] {
         let entry = config::CentreEntry::default();
--- a/crates/node/benches/state_bytes.rs
+++ b/crates/node/benches/state_bytes.rs
@@ -39,6 +39,19 @@
         endpoints: 10,
         kept,
     });
+    for endpoints in [10, 100, 670] {
+        let fleet = common::fleet_config(common::FleetSize {
+            members: 0,
+            endpoints,
+            kept: 0,
+        });
+        let text = serde_json::to_string(&fleet).expect("a configuration is JSON");
+        println!(
+            "{:<12} {endpoints:>6} {:>10} bytes",
+            "config_json",
+            text.len()
+        );
+    }
     for count in [100, 1_000, 10_000] {
         report_requests(count);
     }
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -29,14 +29,20 @@
 #[derive(Debug)]
 pub struct PeerLinks {
     links: map::HashMap<net::SocketAddr, mpsc::Sender<peer::PeerEnvelope>>,
+    inbox: mpsc::Sender<server::PeerDelivery>,
     traffic: sync::Arc<traffic::PeerTraffic>,
 }
 
 impl PeerLinks {
-    /// Makes links that count into `traffic`. Connects when first used.
-    pub fn new(traffic: sync::Arc<traffic::PeerTraffic>) -> Self {
+    /// Makes links that pass peers' answers to `inbox` and count into `traffic`. Connects when
+    /// first used.
+    pub fn new(
+        inbox: mpsc::Sender<server::PeerDelivery>,
+        traffic: sync::Arc<traffic::PeerTraffic>,
+    ) -> Self {
         Self {
             links: map::HashMap::default(),
+            inbox,
             traffic,
         }
     }
@@ -59,10 +65,10 @@
     }
 
     fn link(&mut self, to: net::SocketAddr) -> &mpsc::Sender<peer::PeerEnvelope> {
-        let traffic = &self.traffic;
+        let (inbox, traffic) = (&self.inbox, &self.traffic);
         self.links.entry(to).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
-            tokio::spawn(run(to, receiver, traffic.clone()));
+            tokio::spawn(run(to, receiver, inbox.clone(), traffic.clone()));
             sender
         })
     }
@@ -71,6 +77,7 @@
 async fn run(
     to: net::SocketAddr,
     mut queue: mpsc::Receiver<peer::PeerEnvelope>,
+    inbox: mpsc::Sender<server::PeerDelivery>,
     traffic: sync::Arc<traffic::PeerTraffic>,
 ) {
     let mut client = None;
@@ -81,33 +88,41 @@
             return;
         }
         let count = batch.len();
-        if !deliver(to, &mut client, &batch, &traffic).await {
-            client = None;
-            traffic::PeerTraffic::add(&traffic.dropped, count);
+        match deliver(to, &mut client, &batch, &traffic).await {
+            Some(envelopes) if envelopes.is_empty() => {}
+            Some(envelopes) => {
+                let delivery = server::PeerDelivery {
+                    envelopes,
+                    answers: None,
+                };
+                // The inbox is closed only at the end of the process.
+                let _ = inbox.send(delivery).await;
+            }
+            None => {
+                client = None;
+                traffic::PeerTraffic::add(&traffic.dropped, count);
+            }
         }
         batch.clear();
     }
 }
 
+/// Delivers messages and returns what the peer answers; `None` if it did not take them.
 async fn deliver(
     to: net::SocketAddr,
     client: &mut Option<ws_client::WsClient>,
     batch: &[peer::PeerEnvelope],
     traffic: &sync::Arc<traffic::PeerTraffic>,
-) -> bool {
+) -> Option<Vec<peer::PeerEnvelope>> {
     if client.as_ref().is_none_or(|client| !client.is_connected()) {
         *client = dial(to, traffic).await;
     }
-    let Some(client) = client else {
-        return false;
-    };
+    let client = client.as_ref()?;
     traffic::PeerTraffic::add(&traffic.sent_calls, 1);
     let mut params = params::ArrayParams::new();
-    if params.insert(batch).is_err() {
-        return false;
-    }
-    let call = client.request::<bool, _>(server::DELIVER_METHOD, params);
-    matches!(time::timeout(REPLY_LIMIT, call).await, Ok(Ok(true)))
+    params.insert(batch).ok()?;
+    let call = client.request::<Vec<peer::PeerEnvelope>, _>(server::DELIVER_METHOD, params);
+    time::timeout(REPLY_LIMIT, call).await.ok()?.ok()
 }
 
 async fn dial(
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -8,13 +8,14 @@
 use jsonrpsee::types;
 use model::peer;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::stream;
 use crate::traffic;
 
 /// Name of the method that takes messages.
-pub(crate) const DELIVER_METHOD: &str = "peer_deliver";
+pub(crate) const DELIVER_METHOD: &str = "deliver";
 /// Most connections from peers.
 const MOST_CONNECTIONS: u32 = 1_024;
 /// Largest call, in bytes.
@@ -22,6 +23,16 @@
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Messages that came from one peer.
+#[derive(Debug)]
+pub struct PeerDelivery {
+    /// The messages, in order.
+    pub envelopes: Vec<peer::PeerEnvelope>,
+    /// Takes what is to go back to the sender on the same connection; `None` if the messages
+    /// are themselves answers.
+    pub answers: Option<oneshot::Sender<Vec<peer::PeerEnvelope>>>,
+}
+
 /// Why the server could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum ServerError {
@@ -47,7 +58,7 @@
     /// Address to listen on.
     pub address: net::SocketAddr,
     /// Takes the messages.
-    pub inbox: mpsc::Sender<peer::PeerEnvelope>,
+    pub inbox: mpsc::Sender<PeerDelivery>,
     /// Counts of bytes and calls.
     pub traffic: sync::Arc<traffic::PeerTraffic>,
     /// Whether connections from an address are taken; others are closed at once.
@@ -110,15 +121,18 @@
 
 async fn deliver(
     params: &types::Params<'_>,
-    inbox: &mpsc::Sender<peer::PeerEnvelope>,
+    inbox: &mpsc::Sender<PeerDelivery>,
     traffic: &traffic::PeerTraffic,
-) -> std::result::Result<bool, types::ErrorObjectOwned> {
+) -> std::result::Result<Vec<peer::PeerEnvelope>, types::ErrorObjectOwned> {
     traffic::PeerTraffic::add(&traffic.received_calls, 1);
     let envelopes = params.one::<Vec<peer::PeerEnvelope>>()?;
-    for envelope in envelopes {
-        if inbox.send(envelope).await.is_err() {
-            return Ok(false);
-        }
+    let (answers, answered) = oneshot::channel();
+    let delivery = PeerDelivery {
+        envelopes,
+        answers: Some(answers),
+    };
+    if inbox.send(delivery).await.is_err() {
+        return Ok(Vec::new());
     }
-    Ok(true)
+    Ok(answered.await.unwrap_or_default())
 }
