--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -176,6 +176,7 @@
             host_list,
         },
         limits: daemon::LimitSettings::default(),
+        networks: daemon::NetworkSettings::default(),
         log: daemon::LogSettings {
             level: "off".to_owned(),
         },
--- a/crates/fakes/src/hosts.rs
+++ b/crates/fakes/src/hosts.rs
@@ -6,8 +6,10 @@
 use std::sync;
 use std::time::Duration;
 
+use axum::response::IntoResponse;
 use axum::routing;
 use platform::wire;
+use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use crate::serve;
@@ -16,9 +18,23 @@
 #[derive(Debug, Default)]
 struct HostsState {
     shown: wire::HostListing,
+    /// Rises with each listing shown; its tag.
+    revision: u64,
+    /// Whether listings carry a tag.
+    tagged: bool,
+    witness: HostsWitness,
     coming: collections::VecDeque<ComingListing>,
 }
 
+/// Calls that the host list answered.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct HostsWitness {
+    /// Listings sent in full.
+    pub full: u64,
+    /// Calls told that nothing has changed.
+    pub unchanged: u64,
+}
+
 #[derive(Debug)]
 struct ComingListing {
     at: time::Instant,
@@ -54,7 +70,8 @@
     ) -> io::Result<Self> {
         let state = HostsState {
             shown: listing,
-            coming: collections::VecDeque::new(),
+            tagged: true,
+            ..HostsState::default()
         };
         let handle = HostsHandle {
             state: sync::Arc::new(sync::Mutex::new(state)),
@@ -63,6 +80,8 @@
         let router = axum::Router::new()
             .route(wire::HOSTS_PATH, routing::get(show))
             .route("/fake/listing", routing::put(tell))
+            .route("/fake/tagged", routing::put(set_tagged))
+            .route("/fake/witness", routing::get(witness))
             .with_state(handle);
         let server = serve::start(address, router).await?;
         Ok(Self { server })
@@ -81,15 +100,43 @@
 
 async fn show(
     axum::extract::State(handle): axum::extract::State<HostsHandle>,
-) -> axum::Json<wire::HostListing> {
+    headers: http::HeaderMap,
+) -> axum::response::Response {
     let mut state = handle.lock();
     let now = time::Instant::now();
     while state.coming.front().is_some_and(|coming| coming.at <= now) {
         if let Some(coming) = state.coming.pop_front() {
             state.shown = coming.listing;
+            state.revision += 1;
         }
     }
-    axum::Json(state.shown.clone())
+    if !state.tagged {
+        state.witness.full += 1;
+        return axum::Json(&state.shown).into_response();
+    }
+    let tag = format!("\"{}\"", state.revision);
+    let known = headers.get(http::header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        state.witness.unchanged += 1;
+        return http::StatusCode::NOT_MODIFIED.into_response();
+    }
+    state.witness.full += 1;
+    ([(http::header::ETAG, tag)], axum::Json(&state.shown)).into_response()
+}
+
+/// Sets whether listings carry a tag; not every platform gives one.
+async fn set_tagged(
+    axum::extract::State(handle): axum::extract::State<HostsHandle>,
+    axum::Json(tagged): axum::Json<bool>,
+) -> http::StatusCode {
+    handle.lock().tagged = tagged;
+    http::StatusCode::OK
+}
+
+async fn witness(
+    axum::extract::State(handle): axum::extract::State<HostsHandle>,
+) -> axum::Json<HostsWitness> {
+    axum::Json(handle.lock().witness)
 }
 
 async fn tell(
--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -58,9 +58,38 @@
 pub struct ProxyControl {
     state: sync::Arc<watch::Sender<LinkState>>,
     opened: sync::Arc<sync::atomic::AtomicU64>,
+    moved: sync::Arc<MovedBytes>,
+}
+
+/// Bytes that went through a link, as TCP payload.
+#[derive(Debug, Default)]
+struct MovedBytes {
+    requests: sync::atomic::AtomicU64,
+    answers: sync::atomic::AtomicU64,
+}
+
+/// What went through a link since its start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LinkWitness {
+    /// Connections opened.
+    pub opened: u64,
+    /// Bytes towards the target.
+    pub request_bytes: u64,
+    /// Bytes back from it.
+    pub answer_bytes: u64,
 }
 
 impl ProxyControl {
+    /// What went through the link.
+    pub fn witness(&self) -> LinkWitness {
+        let load = |count: &sync::atomic::AtomicU64| count.load(sync::atomic::Ordering::SeqCst);
+        LinkWitness {
+            opened: load(&self.opened),
+            request_bytes: load(&self.moved.requests),
+            answer_bytes: load(&self.moved.answers),
+        }
+    }
+
     /// Sets the fault.
     pub fn set(&self, fault: LinkFault) {
         let opened = self.opened.load(sync::atomic::Ordering::SeqCst);
@@ -81,6 +110,7 @@
         let control = ProxyControl {
             state: sync::Arc::new(watch::Sender::new(LinkState::default())),
             opened: sync::Arc::default(),
+            moved: sync::Arc::default(),
         };
         let task = tokio::spawn(accept(listener, target, control.clone()));
         Ok(Self {
@@ -132,8 +162,7 @@
             continue;
         }
         let number = control.opened.fetch_add(1, sync::atomic::Ordering::SeqCst) + 1;
-        let state = control.state.subscribe();
-        tokio::spawn(link(inbound, target, number, state));
+        tokio::spawn(link(inbound, target, number, control.clone()));
     }
 }
 
@@ -141,8 +170,9 @@
     inbound: tokio::net::TcpStream,
     target: net::SocketAddr,
     number: u64,
-    state: watch::Receiver<LinkState>,
+    control: ProxyControl,
 ) {
+    let state = control.state.subscribe();
     let Ok(outbound) = tokio::net::TcpStream::connect(target).await else {
         return;
     };
@@ -158,6 +188,7 @@
         PumpState {
             number,
             state: state.clone(),
+            moved: control.moved.clone(),
             answers: false,
         },
     );
@@ -167,6 +198,7 @@
         PumpState {
             number,
             state,
+            moved: control.moved.clone(),
             answers: true,
         },
     );
@@ -179,10 +211,20 @@
 struct PumpState {
     number: u64,
     state: watch::Receiver<LinkState>,
+    moved: sync::Arc<MovedBytes>,
     answers: bool,
 }
 
 impl PumpState {
+    fn count(&self, bytes: usize) {
+        let counter = if self.answers {
+            &self.moved.answers
+        } else {
+            &self.moved.requests
+        };
+        counter.fetch_add(bytes as u64, sync::atomic::Ordering::SeqCst);
+    }
+
     fn is_silent(&self) -> bool {
         let state = self.state.borrow();
         state.fault == LinkFault::Blackhole || self.number <= state.frozen_to
@@ -211,6 +253,7 @@
             let _ = to.shutdown().await;
             return;
         }
+        pump.count(count);
         let fault = pump.state.borrow().fault;
         match fault {
             LinkFault::Delay(millis) => time::sleep(Duration::from_millis(millis)).await,
--- a/crates/fakes/src/scenario/run.rs
+++ b/crates/fakes/src/scenario/run.rs
@@ -40,6 +40,8 @@
         engine_model: file.fleet.engine.clone(),
         plains: file.fleet.plains.clone(),
         limits: Default::default(),
+        networks: settings::daemon::NetworkSettings::default(),
+        log_level: "debug".to_owned(),
     };
     let fleet = fleet::ProcessFleet::start(&plan)
         .await
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod daemons;
+pub mod traffic;
 pub mod trail;
 pub mod wire;
 pub mod writer;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fault;
 pub mod generate;
 pub mod load;
+pub mod networks;
 pub mod operator;
 
 mod cross;
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -13,6 +13,8 @@
     Address,
     /// An IP address.
     Host,
+    /// A network in CIDR notation.
+    Network,
     /// True or false.
     Flag,
     /// A whole number, at least so much and at most so much.
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -89,6 +89,7 @@
     required("listen", ValueShape::Record(LISTEN)),
     required("platform", ValueShape::Record(PLATFORM)),
     defaulted("limits", ValueShape::Record(LIMITS)),
+    defaulted("networks", ValueShape::Record(NETWORKS)),
     defaulted("log", ValueShape::Record(LOG)),
     nullable("seed", ValueShape::Whole(0, u64::MAX)),
 ];
@@ -105,6 +106,11 @@
     required("host_list", ValueShape::Address),
 ];
 
+const NETWORKS: &[FieldShape] = &[
+    defaulted("peers", ValueShape::List(&ValueShape::Network)),
+    defaulted("admin", ValueShape::List(&ValueShape::Network)),
+];
+
 const LIMITS: &[FieldShape] = &[
     defaulted("body_bytes", LARGE_COUNT),
     defaulted("header_bytes", LARGE_COUNT),
--- a/crates/settings/src/walk.rs
+++ b/crates/settings/src/walk.rs
@@ -226,6 +226,9 @@
         shape::ValueShape::Address if text.parse::<net::SocketAddr>().is_err() => {
             return plain("must be an IP address and a port, as in 10.0.0.1:8080");
         }
+        shape::ValueShape::Network if text.parse::<ipnet::IpNet>().is_err() => {
+            return plain("must be a network, as in 10.0.0.0/8");
+        }
         shape::ValueShape::Host if text.parse::<net::IpAddr>().is_err() => {
             return plain("must be an IP address, as in 10.0.0.1");
         }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -81,6 +81,7 @@
             host_list: address(5),
         },
         limits: daemon::LimitSettings::default(),
+        networks: daemon::NetworkSettings::default(),
         log: daemon::LogSettings::default(),
         seed: Some(u64::MAX),
     };
