--- a/crates/cli/tests/change.rs
+++ b/crates/cli/tests/change.rs
@@ -7,11 +7,14 @@
 use std::sync::atomic;
 use std::time::Duration;
 
+use fakes::fleet;
+use fakes::proxy;
 use fakes::store;
 use model::audit;
 use model::config;
 use model::ids;
 use model::store as store_model;
+use platform::client;
 use platform::trail;
 use platform::writer;
 
@@ -174,20 +177,22 @@
 async fn lost_answer_is_settled_by_write_id_after_others_changed_more() {
     let platform = support::TestPlatform::start(Vec::new()).await;
     platform.fill().await;
-    let writer = writer::ConfigWriter::new(platform.client.clone());
-    let base = writer.read().await.unwrap();
-    platform.faults(&lost(1)).await;
+    let direct = writer::ConfigWriter::new(platform.client.clone());
+    let base = direct.read().await.unwrap();
+    // The first writer hears nothing until the second one's change is accepted.
+    let link = proxy::FaultProxy::start(fleet::free_address(), platform.store.address());
+    let link = link.await.unwrap();
+    link.control().set(proxy::LinkFault::DropAnswers);
+    let far = client::PlatformClient::new(link.address(), platform.hosts.address());
+    let far = writer::ConfigWriter::new(far);
     let config = with_customer(&base, "first");
-    let first = writer.change(&base, config, note("one", "w-one"));
+    let first = far.change(&base, config, note("one", "w-one"));
     let second = async {
-        loop {
-            let base = writer.read().await.unwrap();
-            if base.object.audit.len() == 2 {
-                let config = with_customer(&base, "second");
-                break writer.change(&base, config, note("two", "w-two")).await;
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        let base = wait_for_entries(&direct, 2).await;
+        let config = with_customer(&base, "second");
+        let outcome = direct.change(&base, config, note("two", "w-two")).await;
+        link.control().set(proxy::LinkFault::None);
+        outcome
     };
     let (first, second) = tokio::join!(first, second);
     assert!(matches!(
@@ -201,6 +206,16 @@
     assert_eq!(current.object.audit.len(), 3);
 }
 
+async fn wait_for_entries(writer: &writer::ConfigWriter, count: usize) -> writer::CurrentConfig {
+    loop {
+        let current = writer.read().await.unwrap();
+        if current.object.audit.len() == count {
+            return current;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn outage_in_the_middle_is_told_as_unknown() {
     let platform = support::TestPlatform::start(Vec::new()).await;
