--- a/crates/settings/src/walk.rs
+++ b/crates/settings/src/walk.rs
@@ -232,6 +232,9 @@
         shape::ValueShape::Host if text.parse::<net::IpAddr>().is_err() => {
             return plain("must be an IP address, as in 10.0.0.1");
         }
+        shape::ValueShape::Network if text.parse::<ipnet::IpNet>().is_err() => {
+            return plain("must be a network in CIDR notation, as in 10.0.0.0/8");
+        }
         shape::ValueShape::Call if !is_call(text) => {
             return plain("must be a method and a path, as in POST /orders");
         }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -86,7 +86,11 @@
         seed: Some(u64::MAX),
     };
     let text = serde_yaml_ng::to_string(&settings).unwrap();
-    assert_eq!(check::daemon("a1", &text).unwrap().seed, Some(u64::MAX));
+    let read = check::daemon("a1", &text).unwrap();
+    assert_eq!(read.seed, Some(u64::MAX));
+    assert_eq!(read.networks, daemon::NetworkSettings::default());
+    let broken = text.replace("10.0.0.0/8", "10.0.0.0/40");
+    assert!(check::daemon("a1", &broken).is_err());
     let settings = operator::OperatorSettings {
         object_api: Some(address(1)),
         host_list: None,
