Measure loads with sardinepaddle load

The demo's start of stand-ins moves to a module that both use. Slowdown divides by the time that the stand-in engine's model gives for the request alone. Requests of a warm-up are not measured: before, the keepers' ramp at the start set the p95 of every variant.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 mod demo;
+mod load;
 
 use crate::error;
 
@@ -15,6 +16,7 @@
 #[derive(Clone, Debug, clap::Subcommand)]
 enum CliCommand {
     Demo(demo::DemoArgs),
+    Load(load::LoadArgs),
 }
 
 impl CliArgs {
@@ -22,6 +24,7 @@
     pub fn run(self) -> error::Result<()> {
         match self.command {
             CliCommand::Demo(args) => args.run(),
+            CliCommand::Load(args) => args.run(),
         }
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -20,6 +20,21 @@
     /// The result could not be written.
     #[error("cannot write the result")]
     Write(#[from] serde_json::Error),
+    /// An experiment could not be read.
+    #[error("cannot read the experiment [{path}]")]
+    ReadExperiment {
+        /// The file.
+        path: String,
+        /// The cause.
+        #[source]
+        source: std::io::Error,
+    },
+    /// An experiment makes no sense.
+    #[error("the experiment is no good: {detail}")]
+    Experiment {
+        /// Why.
+        detail: String,
+    },
     /// Something did not happen in time.
     #[error("{what} took too long")]
     Late {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,4 +4,6 @@
 
 mod demo;
 mod error;
+mod load;
 mod report;
+mod stand_ins;
