Queue requests without room by class and share, and refuse early

Cause: a request without room asked every keeper again each 20 to 60 ms by itself (32 to 66 peer messages a request at the capacity), and was given up only after half of the time allowed (refusals at 2.5 s of 5 s). A long prompt over 75% of an engine's memory could never be granted. Ruled out: the keepers' ramp at the start (load is measured after a warm-up). Change: queues by service and size class, one request at a time asks for its queue, customers in turn by the work started over their weight; admission predicts from the queue's own pace and run time whether the deadline can be met, and says when to come back; a sole long prompt may take all free memory; a quarter of the slots is kept for short prompts.

--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -175,6 +175,7 @@
     systems::grants::tick(state);
     systems::claims::tick(state);
     systems::placement::tick(state);
+    systems::queues::tick(state);
     systems::retry::tick(state);
     systems::reclaim::tick(state);
     systems::drain::tick(state);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,6 +19,7 @@
 use crate::tables::endpoint;
 use crate::tables::ledger;
 use crate::tables::member;
+use crate::tables::queue;
 use crate::tables::request;
 
 /// The configuration in force here.
@@ -100,6 +101,7 @@
     pub config: ConfigView,
     pub requests: request::RequestTable,
     pub endpoints: endpoint::EndpointTable,
+    pub queues: queue::QueueTable,
     pub ledgers: ledger::LedgerTable,
     pub claims: claim::ClaimTable,
     pub cancels: map::HashMap<ids::AttemptId, CancelEntry>,
@@ -130,6 +132,7 @@
             config,
             requests: request::RequestTable::default(),
             endpoints: endpoint::EndpointTable::default(),
+            queues: queue::QueueTable::default(),
             ledgers: ledger::LedgerTable::default(),
             claims: claim::ClaimTable::default(),
             cancels: map::HashMap::default(),
--- a/crates/node/src/systems/admission.rs
+++ b/crates/node/src/systems/admission.rs
@@ -40,7 +40,7 @@
     if claimed {
         systems::claims::ask(state, request, 0);
     } else {
-        systems::placement::place(state, request);
+        systems::queues::enter(state, request);
     }
 }
 
@@ -76,6 +76,9 @@
     if state.requests.len() >= state.settings.max_in_flight {
         return Some(not_run(outcome::RefusalReason::Overloaded, soon));
     }
+    if let Some(wait) = systems::queues::predict_late(state, head) {
+        return Some(not_run(outcome::RefusalReason::Overloaded, Some(wait)));
+    }
     None
 }
 
--- a/crates/node/src/systems/claims.rs
+++ b/crates/node/src/systems/claims.rs
@@ -109,7 +109,7 @@
             if let Some(entry) = state.requests.get_mut(&id) {
                 entry.claimed = true;
             }
-            systems::placement::place(state, id);
+            systems::queues::enter(state, id);
         }
         peer::ClaimVerdict::Answered(answer) => {
             systems::retry::finish(state, id, outcome::RequestOutcome::Replayed { answer });
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -27,10 +27,6 @@
 const COLD_LOAD_PERIOD: Duration = Duration::from_millis(250);
 /// Time after which a grant for an endpoint that reports no load counts as returned.
 const SILENT_HOLD_SPAN: Duration = Duration::from_secs(120);
-/// One in this many slots of an engine may be taken by long prompts.
-const LONG_SLOT_DIVISOR: u32 = 4;
-/// Percentage of an engine's memory that long prompts may take.
-const LONG_MEMORY_PERCENT: u64 = 75;
 
 /// What a sender asks of a keeper.
 #[derive(Clone, Debug)]
@@ -259,16 +255,11 @@
         .as_ref()
         .map(|config| config.policy.placement);
     let sized = policy == Some(config::PlacementPolicy::SizeAware);
-    if !sized || ask.class != request::SizeClass::Long {
+    if !sized {
         return Some(ledger::SpaceUse { slots, tokens });
     }
-    let long = account.long_use();
-    let long_slots = (account.carry / LONG_SLOT_DIVISOR).max(1);
-    let long_tokens = memory * LONG_MEMORY_PERCENT / 100;
-    Some(ledger::SpaceUse {
-        slots: slots.min(long_slots.saturating_sub(long.slots)),
-        tokens: tokens.min(long_tokens.saturating_sub(long.tokens)),
-    })
+    let free = ledger::SpaceUse { slots, tokens };
+    Some(systems::classes::limit(account, ask.class, memory, free))
 }
 
 fn is_ready(account: &ledger::EndpointLedger, now: time::MonoTime) -> bool {
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -2,11 +2,14 @@
 
 pub(crate) mod admission;
 pub(crate) mod claims;
+pub(crate) mod classes;
 pub(crate) mod config;
 pub(crate) mod drain;
 pub(crate) mod grants;
 pub(crate) mod membership;
 pub(crate) mod placement;
+pub(crate) mod queues;
 pub(crate) mod reclaim;
 pub(crate) mod retry;
 pub(crate) mod shards;
+pub(crate) mod shares;
--- a/crates/node/src/systems/placement.rs
+++ b/crates/node/src/systems/placement.rs
@@ -4,7 +4,6 @@
 
 use model::config;
 use model::ids;
-use model::outcome;
 use model::peer;
 use model::time;
 use rand::Rng;
@@ -13,7 +12,6 @@
 use crate::action;
 use crate::state;
 use crate::systems;
-use crate::systems::admission;
 use crate::systems::grants;
 use crate::tables::endpoint;
 use crate::tables::request;
@@ -28,19 +26,17 @@
 const ENDPOINT_REST: Duration = Duration::from_millis(500);
 /// Endpoints compared for one choice.
 const CHOICES: usize = 2;
-/// One part in this many of the time allowed may be spent waiting for room.
-const WAIT_DIVISOR: u32 = 2;
+/// Endpoints asked for room before a request rests.
+const ASKED_BEFORE_REST: usize = 4;
 /// Age at which a view of an endpoint counts for nothing.
 const VIEW_SPAN: Duration = Duration::from_secs(1);
 
-/// Asks again for requests that waited, and gives up those without hope.
+/// Asks again elsewhere for requests whose keeper did not answer.
 pub(crate) fn tick(state: &mut state::NodeState) {
     let now = state.now;
-    let mut due = Vec::new();
     let mut late = Vec::new();
     for (id, entry) in &state.requests.requests {
         match &entry.phase {
-            request::RequestPhase::Waiting { until } if *until <= now => due.push(*id),
             request::RequestPhase::Asking(pending) if now.since(pending.asked_at) > ASK_TIMEOUT => {
                 late.push((*id, pending.clone()));
             }
@@ -52,9 +48,6 @@
         rest(state, &pending.endpoint);
         place(state, id);
     }
-    for id in due {
-        place(state, id);
-    }
 }
 
 /// Asks the keeper of the best endpoint for room; without one, lets the request wait.
@@ -164,13 +157,8 @@
         return;
     };
     entry.tried.clear();
-    let allowed = entry.head.deadline.since(entry.arrived_at) / WAIT_DIVISOR;
-    if now.since(entry.arrived_at) + pause < allowed {
-        entry.phase = request::RequestPhase::Waiting { until: now + pause };
-        return;
-    }
-    let reason = outcome::RefusalReason::Overloaded;
-    systems::retry::give_up(state, id, reason, Some(admission::RETRY_SOON));
+    entry.phase = request::RequestPhase::Waiting { until: now + pause };
+    systems::queues::note_full(state, id);
 }
 
 /// Takes a keeper's answer.
@@ -225,8 +213,13 @@
 
 fn try_next(state: &mut state::NodeState, pending: &request::PendingGrant) {
     let id = pending.attempt.request;
-    if let Some(entry) = state.requests.get_mut(&id) {
-        entry.tried.push(pending.endpoint.clone());
+    let Some(entry) = state.requests.get_mut(&id) else {
+        return;
+    };
+    entry.tried.push(pending.endpoint.clone());
+    if entry.tried.len() >= ASKED_BEFORE_REST {
+        wait(state, id);
+        return;
     }
     place(state, id);
 }
@@ -254,6 +247,7 @@
         attempt: pending.attempt,
         endpoint: pending.endpoint.clone(),
         keeper: pending.keeper,
+        started_at: now,
         progressed_at: now,
     });
     let order = action::AttemptOrder {
@@ -267,6 +261,7 @@
     state.endpoints.view(&pending.endpoint).in_flight += 1;
     state.stats.attempts += 1;
     state.act(action::NodeAction::StartAttempt(order));
+    systems::queues::note_start(state, pending.attempt.request);
 }
 
 /// Returns a grant to its keeper.
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -159,6 +159,7 @@
     answer: Option<outcome::RecordedAnswer>,
 ) {
     return_grant(state, running, peer::GrantUsage::Finished);
+    note_run(state, id, running);
     state.retry_tokens = (state.retry_tokens + BUDGET_EARNED).min(BUDGET_CAP);
     let answer = answer.unwrap_or(outcome::RecordedAnswer {
         status: 200,
@@ -168,6 +169,13 @@
     finish(state, id, outcome::RequestOutcome::Answered);
 }
 
+fn note_run(state: &mut state::NodeState, id: ids::RequestId, running: &request::RunningAttempt) {
+    let span = state.now.since(running.started_at);
+    if let Some(head) = state.requests.get(&id).map(|entry| entry.head.clone()) {
+        systems::queues::note_run(state, &head, span);
+    }
+}
+
 /// Goes on elsewhere after an attempt that will not be answered.
 fn go_on(
     state: &mut state::NodeState,
--- a/crates/node/src/tables/mod.rs
+++ b/crates/node/src/tables/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod endpoint;
 pub(crate) mod ledger;
 pub(crate) mod member;
+pub(crate) mod queue;
 pub(crate) mod request;
--- /dev/null
+++ b/crates/node/src/tables/queue.rs
@@ -0,0 +1,89 @@
+//! Queues of requests that wait for room, and what they have shown of the service.
+
+use std::collections;
+use std::time::Duration;
+
+use model::ids;
+use model::map;
+use model::request;
+use model::time;
+
+/// Weight of a new sample in a running mean.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Requests of one size class of one service wait together.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct QueueKey {
+    pub service: ids::ServiceId,
+    pub class: request::SizeClass,
+}
+
+/// State of one queue.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct QueueState {
+    /// Until when nothing more is asked for.
+    pub rest_until: time::MonoTime,
+    /// The request that asks on behalf of the queue.
+    pub asking: Option<ids::RequestId>,
+    /// Last start of a request that had waited, or since when requests wait.
+    pub last_start: Option<time::MonoTime>,
+    /// Mean time between two starts while requests wait, in seconds.
+    pub start_gap: Option<f64>,
+    /// Mean time from the start to the end, in seconds.
+    pub run_span: Option<f64>,
+    /// Work started for each customer, over its weight.
+    pub work: collections::BTreeMap<ids::CustomerId, f64>,
+    /// Work of the customer that was served last; no customer's work counts as less.
+    pub floor: f64,
+}
+
+impl QueueState {
+    /// Notes that a request that had waited was started.
+    pub fn note_start(&mut self, now: time::MonoTime) {
+        if let Some(last) = self.last_start {
+            mix(&mut self.start_gap, now.since(last).as_secs_f64());
+        }
+        self.last_start = Some(now);
+    }
+
+    /// Notes how long a request ran.
+    pub fn note_run(&mut self, span: Duration) {
+        mix(&mut self.run_span, span.as_secs_f64());
+    }
+
+    /// Time until `ahead` requests have been started, as far as is known.
+    pub fn wait_for(&self, ahead: f64, now: time::MonoTime) -> Duration {
+        let stalled = self
+            .last_start
+            .map_or(0.0, |last| now.since(last).as_secs_f64());
+        let gap = self.start_gap.map_or(0.0, |gap| gap.max(stalled));
+        Duration::from_secs_f64(gap * ahead)
+    }
+
+    /// Time that a request will take once started, as far as is known.
+    pub fn run_time(&self) -> Duration {
+        Duration::from_secs_f64(self.run_span.unwrap_or(0.0))
+    }
+}
+
+fn mix(mean: &mut Option<f64>, sample: f64) {
+    let old = mean.unwrap_or(sample);
+    *mean = Some(old + SAMPLE_WEIGHT * (sample - old));
+}
+
+/// All queues of this daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct QueueTable {
+    queues: map::HashMap<QueueKey, QueueState>,
+}
+
+impl QueueTable {
+    /// The state of a queue, made new if there is none.
+    pub fn queue(&mut self, key: &QueueKey) -> &mut QueueState {
+        self.queues.entry(key.clone()).or_default()
+    }
+
+    pub fn get(&self, key: &QueueKey) -> Option<&QueueState> {
+        self.queues.get(key)
+    }
+}
--- a/crates/node/src/tables/request.rs
+++ b/crates/node/src/tables/request.rs
@@ -62,6 +62,7 @@
     pub attempt: ids::AttemptId,
     pub endpoint: ids::EndpointId,
     pub keeper: ids::HostId,
+    pub started_at: time::MonoTime,
     pub progressed_at: time::MonoTime,
 }
 
