--- a/crates/node/src/systems/classes.rs
+++ b/crates/node/src/systems/classes.rs
@@ -7,7 +7,7 @@
 /// One in this many slots of an engine may be taken by long prompts.
 const LONG_SLOT_DIVISOR: u32 = 4;
 /// Percentage of an engine's memory that several long prompts may take together.
-const LONG_MEMORY_PERCENT: u64 = 75;
+pub(crate) const LONG_MEMORY_PERCENT: u64 = 75;
 /// One in this many slots of an engine is kept for short prompts.
 const SHORT_SLOT_DIVISOR: u32 = 4;
 
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -11,5 +11,6 @@
 pub(crate) mod queues;
 pub(crate) mod reclaim;
 pub(crate) mod retry;
+pub(crate) mod sets;
 pub(crate) mod shards;
 pub(crate) mod shares;
--- a/crates/node/src/systems/queues.rs
+++ b/crates/node/src/systems/queues.rs
@@ -35,6 +35,7 @@
         }
         keys.insert(key);
     }
+    state.queues.forget_starts(&keys);
     for id in late {
         let reason = outcome::RefusalReason::Overloaded;
         systems::retry::give_up(state, id, reason, Some(admission::RETRY_SOON));
--- a/crates/node/src/tables/queue.rs
+++ b/crates/node/src/tables/queue.rs
@@ -83,6 +83,15 @@
         self.queues.entry(key.clone()).or_default()
     }
 
+    /// Time without anyone waiting says nothing of the pace.
+    pub fn forget_starts(&mut self, waiting: &collections::BTreeSet<QueueKey>) {
+        for (key, account) in &mut self.queues {
+            if !waiting.contains(key) {
+                account.last_start = None;
+            }
+        }
+    }
+
     pub fn get(&self, key: &QueueKey) -> Option<&QueueState> {
         self.queues.get(key)
     }
