--- a/completions/sardinepaddle.bash
+++ b/completions/sardinepaddle.bash
@@ -49,6 +49,9 @@
             sardinepaddle,init)
                 cmd="sardinepaddle__subcmd__init"
                 ;;
+            sardinepaddle,load)
+                cmd="sardinepaddle__subcmd__load"
+                ;;
             sardinepaddle,service)
                 cmd="sardinepaddle__subcmd__service"
                 ;;
@@ -184,6 +187,9 @@
             sardinepaddle__subcmd__help,init)
                 cmd="sardinepaddle__subcmd__help__subcmd__init"
                 ;;
+            sardinepaddle__subcmd__help,load)
+                cmd="sardinepaddle__subcmd__help__subcmd__load"
+                ;;
             sardinepaddle__subcmd__help,service)
                 cmd="sardinepaddle__subcmd__help__subcmd__service"
                 ;;
@@ -269,7 +275,7 @@
 
     case "${cmd}" in
         sardinepaddle)
-            opts="-h -V --help --version apply audit check completions customer data-centre demo diff endpoint init service status help"
+            opts="-h -V --help --version apply audit check completions customer data-centre demo diff endpoint init service status load help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -1165,7 +1171,7 @@
             return 0
             ;;
         sardinepaddle__subcmd__help)
-            opts="apply audit check completions customer data-centre demo diff endpoint init service status help"
+            opts="apply audit check completions customer data-centre demo diff endpoint init service status load help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -1514,6 +1520,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        sardinepaddle__subcmd__help__subcmd__load)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         sardinepaddle__subcmd__help__subcmd__service)
             opts="create list remove"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -1610,6 +1630,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        sardinepaddle__subcmd__load)
+            opts="-h --json --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         sardinepaddle__subcmd__service)
             opts="-h --help create list remove help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/completions/sardinepaddle.zsh
+++ b/completions/sardinepaddle.zsh
@@ -514,6 +514,14 @@
 '--help[Print help]' \
 && ret=0
 ;;
+(load)
+_arguments "${_arguments_options[@]}" : \
+'--json[Print one JSON object and nothing else on standard output]' \
+'-h[Print help (see more with '\''--help'\'')]' \
+'--help[Print help (see more with '\''--help'\'')]' \
+':experiment -- The experiment, in YAML:_files' \
+&& ret=0
+;;
 (help)
 _arguments "${_arguments_options[@]}" : \
 ":: :_sardinepaddle__subcmd__help_commands" \
@@ -686,6 +694,10 @@
 _arguments "${_arguments_options[@]}" : \
 && ret=0
 ;;
+(load)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
 (help)
 _arguments "${_arguments_options[@]}" : \
 && ret=0
@@ -714,6 +726,7 @@
 'init:Generate a first configuration from a questionnaire' \
 'service:Create, list and remove services' \
 'status:Show the configuration'\''s version and age, and how each daemon is' \
+'load:Measure a load against daemons, or against stand-ins in this process' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
     _describe -t commands 'sardinepaddle commands' commands "$@"
@@ -976,6 +989,7 @@
 'init:Generate a first configuration from a questionnaire' \
 'service:Create, list and remove services' \
 'status:Show the configuration'\''s version and age, and how each daemon is' \
+'load:Measure a load against daemons, or against stand-ins in this process' \
 'help:Print this message or the help of the given subcommand(s)' \
     )
     _describe -t commands 'sardinepaddle help commands' commands "$@"
@@ -1116,6 +1130,11 @@
     local commands; commands=()
     _describe -t commands 'sardinepaddle help init commands' commands "$@"
 }
+(( $+functions[_sardinepaddle__subcmd__help__subcmd__load_commands] )) ||
+_sardinepaddle__subcmd__help__subcmd__load_commands() {
+    local commands; commands=()
+    _describe -t commands 'sardinepaddle help load commands' commands "$@"
+}
 (( $+functions[_sardinepaddle__subcmd__help__subcmd__service_commands] )) ||
 _sardinepaddle__subcmd__help__subcmd__service_commands() {
     local commands; commands=(
@@ -1150,6 +1169,11 @@
     local commands; commands=()
     _describe -t commands 'sardinepaddle init commands' commands "$@"
 }
+(( $+functions[_sardinepaddle__subcmd__load_commands] )) ||
+_sardinepaddle__subcmd__load_commands() {
+    local commands; commands=()
+    _describe -t commands 'sardinepaddle load commands' commands "$@"
+}
 (( $+functions[_sardinepaddle__subcmd__service_commands] )) ||
 _sardinepaddle__subcmd__service_commands() {
     local commands; commands=(
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod diff;
 mod endpoint;
 mod init;
+mod load;
 mod service;
 mod status;
 
@@ -51,6 +52,7 @@
     Init(init::InitArgs),
     Service(service::ServiceArgs),
     Status(status::StatusArgs),
+    Load(load::LoadArgs),
 }
 
 impl CliArgs {
@@ -69,6 +71,7 @@
             CliCommand::Init(args) => args.run(),
             CliCommand::Service(args) => args.run(),
             CliCommand::Status(args) => args.run(),
+            CliCommand::Load(args) => args.run(),
         }
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -45,6 +45,21 @@
         #[source]
         source: io::Error,
     },
+    /// An experiment could not be read.
+    #[error("cannot read the experiment [{path}]")]
+    ReadExperiment {
+        /// The file.
+        path: String,
+        /// The cause.
+        #[source]
+        source: io::Error,
+    },
+    /// An experiment makes no sense.
+    #[error("the experiment is no good: {detail}")]
+    Experiment {
+        /// Why.
+        detail: String,
+    },
     /// Something did not happen in time.
     #[error("{what} took too long")]
     Late {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,8 @@
 mod connect;
 mod demo;
 mod error;
+mod load;
 mod output;
 mod questions;
 mod report;
+mod stand_ins;
--- a/crates/node/src/systems/sets.rs
+++ b/crates/node/src/systems/sets.rs
@@ -16,6 +16,7 @@
 use crate::action;
 use crate::state;
 use crate::systems;
+use crate::systems::classes;
 use crate::systems::grants;
 use crate::systems::placement;
 use crate::systems::retry;
@@ -29,7 +30,7 @@
 fn capacity(config: &config::FleetConfig, entry: &config::EndpointEntry) -> u64 {
     match config.policy.placement {
         config::PlacementPolicy::SizeAware => {
-            entry.memory_tokens * grants::LONG_MEMORY_PERCENT / 100
+            entry.memory_tokens * classes::LONG_MEMORY_PERCENT / 100
         }
         config::PlacementPolicy::RoundRobin | config::PlacementPolicy::LeastLoaded => {
             entry.memory_tokens
@@ -43,10 +44,17 @@
         .endpoints
         .values()
         .filter(|entry| entry.service == request.service);
-    if request.class() != head::SizeClass::Long {
-        let largest = endpoints.map(|entry| entry.memory_tokens).max();
-        return largest.is_none_or(|largest| request.memory_tokens() <= largest);
-    }
+    let largest = endpoints.map(|entry| entry.memory_tokens).max();
+    let alone = largest.is_none_or(|largest| request.memory_tokens() <= largest);
+    alone || (request.class() == head::SizeClass::Long && set_can_hold(config, request))
+}
+
+/// Whether a set of the service's engines could ever hold a request.
+fn set_can_hold(config: &config::FleetConfig, request: &head::RequestHead) -> bool {
+    let endpoints = config
+        .endpoints
+        .values()
+        .filter(|entry| entry.service == request.service);
     let mut capacities = endpoints
         .map(|entry| capacity(config, entry))
         .collect::<Vec<_>>();
@@ -55,7 +63,7 @@
     request.memory_tokens() <= most
 }
 
-/// Whether no single engine of the service can hold a request.
+/// Whether a set is to hold a request, since it is more than one engine gives to long prompts.
 pub(crate) fn needs_set(state: &state::NodeState, id: ids::RequestId) -> bool {
     let Some((config, entry)) = state.config.config.as_ref().zip(state.requests.get(&id)) else {
         return false;
@@ -69,7 +77,8 @@
         .values()
         .filter(|entry| entry.service == request.service);
     let largest = endpoints.map(|entry| capacity(config, entry)).max();
-    largest.is_some_and(|largest| request.memory_tokens() > largest)
+    let over = largest.is_some_and(|largest| request.memory_tokens() > largest);
+    over && set_can_hold(config, request)
 }
 
 /// Chooses a set and asks for its first engine; without one, lets the request wait.
@@ -392,6 +401,7 @@
         attempt: lead.attempt,
         endpoint: lead.endpoint.clone(),
         keeper: lead.keeper.clone(),
+        started_at: now,
         progressed_at: now,
     };
     entry.phase = request::RequestPhase::Running(running);
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -124,11 +124,6 @@
     defaulted("timeout_ms", LARGE_COUNT),
 ];
 
-const NETWORKS: &[FieldShape] = &[
-    defaulted("peers", ValueShape::List(&ValueShape::Network)),
-    defaulted("admin", ValueShape::List(&ValueShape::Network)),
-];
-
 const LOG: &[FieldShape] = &[defaulted("level", ValueShape::Choice(LEVELS))];
 
 /// Settings of the operators' command.
