--- a/crates/cli/src/load/cost.rs
+++ b/crates/cli/src/load/cost.rs
@@ -57,7 +57,8 @@
     let text = String::from_utf8_lossy(&body);
     let line = text
         .lines()
-        .find(|line| line.starts_with("peer_bytes") && line.contains("direction=\"sent\""))?;
+        .filter(|line| line.starts_with("control_bytes") && line.contains("path=\"peers\""))
+        .find(|line| line.contains("direction=\"sent\""))?;
     let value = line.rsplit(' ').next()?.parse::<f64>().ok()?;
     Some(value as u64)
 }
