Let a cold endpoint's keeper grant only by the votes of a small panel

Cause: each daemon grants by its own view of who keeps an endpoint. Parted daemons of one data centre each took an engine that carries 2 as theirs, and its report lags. Ruled out: shares by the number of visible daemons (views overlap while they change, so shares add up to more than the whole); a lease in the store (none during an outage). Change: a keeper of a cold endpoint needs the votes of most of five listed daemons, fresh within 1 s, for 3 s, and a load report asked after that; half of the votes give half of the carry. A grant given back although the engine may still run its attempt is held until a report without it. A load report counts from when it was asked. The carry rises after 8 finished requests, falls to the start after two failures within 1 s, and a failure reads the load at once.

--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -9,6 +9,7 @@
 use crate::ids;
 use crate::outcome;
 use crate::request;
+use crate::time;
 
 /// A daemon as others know it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -107,6 +108,24 @@
         /// The configuration.
         config: sync::Arc<config::FleetConfig>,
     },
+    /// Asks whether the receiver, too, takes the sender as the keeper of endpoints.
+    VoteAsk {
+        /// The sender's clock, to be given back.
+        asked_at: time::MonoTime,
+        /// The sender's life, to be given back.
+        life: ids::NodeIncarnation,
+        /// The endpoints.
+        endpoints: Vec<ids::EndpointId>,
+    },
+    /// Answers a [`PeerMessage::VoteAsk`].
+    VoteReply {
+        /// Time given in the question.
+        asked_at: time::MonoTime,
+        /// Life given in the question.
+        life: ids::NodeIncarnation,
+        /// Those endpoints of which the sender takes the receiver as the keeper.
+        endpoints: Vec<ids::EndpointId>,
+    },
     /// Asks the keeper of an endpoint for the right to send one attempt.
     GrantAsk {
         /// The endpoint.
@@ -189,6 +208,8 @@
     Failed,
     /// It was not sent.
     Unused,
+    /// It was sent and given up; the endpoint may still run it.
+    Dropped,
 }
 
 /// Whether a claimed call may be sent.
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -173,6 +173,7 @@
     systems::membership::tick(state);
     systems::config::tick(state);
     systems::grants::tick(state);
+    systems::votes::tick(state);
     systems::claims::tick(state);
     systems::placement::tick(state);
     systems::retry::tick(state);
@@ -225,6 +226,16 @@
         peer::PeerMessage::ConfigPush { version, config } => {
             systems::config::on_seen(state, version, config);
         }
+        peer::PeerMessage::VoteAsk {
+            asked_at,
+            life,
+            endpoints,
+        } => systems::votes::on_ask(state, from, asked_at, life, endpoints),
+        peer::PeerMessage::VoteReply {
+            asked_at,
+            life,
+            endpoints,
+        } => systems::votes::on_reply(state, from, asked_at, life, endpoints),
         peer::PeerMessage::GrantAsk {
             endpoint,
             attempt,
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -1,7 +1,8 @@
 //! Who may load an endpoint: each endpoint has one keeper, which grants the right to send.
 //!
 //! A sender takes a grant as void [`GRANT_SPAN`] after it asked, by its own clock. A new
-//! keeper waits that long, and for the engine's own report, before its first grant.
+//! keeper waits that long, and for the engine's own report, before its first grant. While the
+//! endpoint is cold it also needs the votes of other daemons ([`crate::systems::votes`]).
 
 use std::time::Duration;
 
@@ -20,7 +21,14 @@
 /// Time after asking within which a grant may be used.
 pub(crate) const GRANT_SPAN: Duration = Duration::from_secs(1);
 /// Longest lag of an engine's load report.
-const REPORT_LAG: Duration = Duration::from_secs(1);
+pub(crate) const REPORT_LAG: Duration = Duration::from_secs(1);
+/// Time after which a load report that did not come is asked for again. Longer than the
+/// driver waits for one.
+const LOAD_LIMIT: Duration = Duration::from_secs(2);
+/// Requests that a cold endpoint must finish before its carry rises.
+const WARM_REQUESTS: u32 = 8;
+/// Time within which a second failure takes an endpoint back to its start.
+const FAILURE_SPAN: Duration = Duration::from_secs(1);
 /// Time between two load reports of a warm engine.
 const LOAD_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time between two load reports of an engine that is cold or new to its keeper.
@@ -94,6 +102,7 @@
         reports_load,
         load: None,
         load_asked_at: state.now,
+        load_pending: None,
         next_load_at: state.now,
         carry: if reports_load {
             entry.cold_slots
@@ -101,6 +110,8 @@
             entry.slots
         },
         earned: 0,
+        failed_at: None,
+        votes: Default::default(),
         holds: Default::default(),
     };
     state.ledgers.ledgers.insert(id.clone(), account);
@@ -126,9 +137,13 @@
         let Some(entry) = config.endpoints.get(id) else {
             continue;
         };
-        if !account.reports_load || now < account.next_load_at {
+        let pending = account
+            .load_pending
+            .is_some_and(|asked_at| now.since(asked_at) < LOAD_LIMIT);
+        if !account.reports_load || pending || now < account.next_load_at {
             continue;
         }
+        account.load_pending = Some(now);
         let warm = account.load.is_some() && account.carry >= entry.slots;
         account.next_load_at = now + if warm { LOAD_PERIOD } else { COLD_LOAD_PERIOD };
         due.push(action::NodeAction::ReadLoad {
@@ -161,11 +176,11 @@
     let Some(entry) = endpoint_entry(state, id) else {
         return;
     };
-    let now = state.now;
     let Some(account) = state.ledgers.ledgers.get_mut(id) else {
         return;
     };
-    let Some(load) = load else {
+    let asked_at = account.load_pending.take();
+    let Some((load, asked_at)) = load.zip(asked_at) else {
         return;
     };
     let restarted = account
@@ -175,14 +190,14 @@
     if restarted {
         account.carry = entry.cold_slots;
         account.earned = 0;
-        account.holds.clear();
     }
     account.holds.retain(|attempt, hold| {
-        let young = now.since(hold.granted_at) < GRANT_SPAN + REPORT_LAG;
-        young || load.streams.iter().any(|stream| stream.attempt == *attempt)
+        let settled_at = hold.released_at.unwrap_or(hold.granted_at + GRANT_SPAN);
+        let unseen = asked_at < settled_at + REPORT_LAG;
+        unseen || load.streams.iter().any(|stream| stream.attempt == *attempt)
     });
     account.load = Some(load.clone());
-    account.load_asked_at = now;
+    account.load_asked_at = asked_at;
     if restarted {
         state.note(action::NodeNote::EngineCold {
             endpoint: id.clone(),
@@ -193,6 +208,8 @@
 
 /// Answers a sender that asks for a grant.
 pub(crate) fn on_ask(state: &mut state::NodeState, from: &ids::HostId, ask: GrantAsk) {
+    divide_roles(state);
+    systems::votes::refresh(state, &ask.endpoint);
     let room = room_for(state, &ask);
     let verdict = match room {
         None => peer::GrantVerdict::NotKeeper,
@@ -228,6 +245,7 @@
             class: ask.class,
             tokens: ask.tokens,
             granted_at: now,
+            released_at: None,
         };
         account.holds.insert(ask.attempt, hold);
     }
@@ -241,7 +259,8 @@
     if !state.takes_work(&ask.endpoint, &entry) || leaving || !systems::config::is_trusted(state) {
         return None;
     }
-    if !is_ready(account, state.now) || !systems::membership::has_joined(state) {
+    let carry = allowed_carry(account, &entry, state.now);
+    if carry == 0 || !systems::membership::has_joined(state) {
         return Some(ledger::SpaceUse {
             slots: 0,
             tokens: 0,
@@ -251,7 +270,7 @@
         Some(load) => load.memory_tokens,
         None => entry.memory_tokens,
     };
-    let slots = account.carry.saturating_sub(account.used_slots());
+    let slots = carry.saturating_sub(account.used_slots());
     let tokens = memory.saturating_sub(account.used_tokens());
     let policy = state
         .config
@@ -271,10 +290,25 @@
     })
 }
 
-fn is_ready(account: &ledger::EndpointLedger, now: time::MonoTime) -> bool {
-    let waited = now >= account.ready_at;
+/// Whether the endpoint has yet to show that it carries more than after its start.
+pub(crate) fn is_cold(account: &ledger::EndpointLedger, entry: &config::EndpointEntry) -> bool {
+    account.reports_load && account.carry <= entry.cold_slots && account.carry < entry.slots
+}
+
+/// Requests that this daemon may let the endpoint carry.
+fn allowed_carry(
+    account: &ledger::EndpointLedger,
+    entry: &config::EndpointEntry,
+    now: time::MonoTime,
+) -> u32 {
     let seen = !account.reports_load || account.load.is_some();
-    waited && seen
+    if now < account.ready_at || !seen {
+        return 0;
+    }
+    if is_cold(account, entry) {
+        return systems::votes::allowed_carry(account, now);
+    }
+    account.carry
 }
 
 /// Takes a grant back.
@@ -287,38 +321,63 @@
     let Some(entry) = endpoint_entry(state, id) else {
         return;
     };
+    let now = state.now;
     let Some(account) = state.ledgers.ledgers.get_mut(id) else {
         return;
     };
-    if account.holds.remove(&attempt).is_none() {
+    let Some(hold) = account.holds.get_mut(&attempt) else {
         return;
-    }
-    if let Some(load) = &mut account.load {
-        load.streams.retain(|stream| stream.attempt != attempt);
+    };
+    let may_run = matches!(usage, peer::GrantUsage::Dropped | peer::GrantUsage::Failed);
+    if may_run && account.reports_load {
+        hold.released_at.get_or_insert(now);
+    } else {
+        account.holds.remove(&attempt);
+        forget_stream(account, attempt);
     }
     match usage {
         peer::GrantUsage::Finished => earn(account, &entry),
-        peer::GrantUsage::Failed => lose(account, &entry),
-        peer::GrantUsage::Unused => {}
+        peer::GrantUsage::Failed => lose(account, &entry, now),
+        peer::GrantUsage::Dropped | peer::GrantUsage::Unused => {}
+    }
+}
+
+fn forget_stream(account: &mut ledger::EndpointLedger, attempt: ids::AttemptId) {
+    if let Some(load) = &mut account.load {
+        load.streams.retain(|stream| stream.attempt != attempt);
     }
 }
 
-/// A finished request is evidence: the carry rises by one after as many as it is.
+/// Finished requests are evidence: enough of them double the carry.
 fn earn(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry) {
     if account.carry >= entry.slots {
         return;
     }
     account.earned += 1;
-    if account.earned >= account.carry {
+    let wanted = if account.carry <= entry.cold_slots {
+        WARM_REQUESTS
+    } else {
+        account.carry
+    };
+    if account.earned >= wanted {
         account.earned = 0;
         account.carry = (account.carry * 2).min(entry.slots);
     }
 }
 
-/// A refusal or a broken answer is evidence against the endpoint.
-fn lose(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry) {
+/// A refusal or a broken answer is evidence against the endpoint; two in a row take it back
+/// to its start. Its load is read at once, since it may have started anew.
+fn lose(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry, now: time::MonoTime) {
+    let again = account
+        .failed_at
+        .is_some_and(|failed_at| now.since(failed_at) < FAILURE_SPAN);
+    account.failed_at = Some(now);
+    account.next_load_at = now;
     account.earned = 0;
-    account.carry = (account.carry / 2).max(entry.cold_slots);
+    account.carry = match again {
+        true => account.carry.min(entry.cold_slots),
+        false => (account.carry / 2).max(entry.cold_slots),
+    };
 }
 
 fn endpoint_entry(state: &state::NodeState, id: &ids::EndpointId) -> Option<config::EndpointEntry> {
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod reclaim;
 pub(crate) mod retry;
 pub(crate) mod shards;
+pub(crate) mod votes;
--- a/crates/node/src/systems/placement.rs
+++ b/crates/node/src/systems/placement.rs
@@ -187,7 +187,8 @@
     view.free_slots = free_slots;
     view.seen_at = now;
     let Some(pending) = pending_grant(state, attempt) else {
-        if verdict == peer::GrantVerdict::Granted {
+        let runs = state.requests.running(&attempt).is_some();
+        if verdict == peer::GrantVerdict::Granted && !runs {
             let usage = peer::GrantUsage::Unused;
             state.send(
                 from,
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -350,7 +350,7 @@
             state.act(action::NodeAction::DropAttempt {
                 attempt: running.attempt,
             });
-            return_grant(state, &running, peer::GrantUsage::Unused);
+            return_grant(state, &running, peer::GrantUsage::Dropped);
             if prompt {
                 systems::reclaim::cancel(state, running.attempt, &running.endpoint);
             }
--- a/crates/node/src/tables/ledger.rs
+++ b/crates/node/src/tables/ledger.rs
@@ -1,6 +1,7 @@
 //! A keeper's account of the endpoints that it grants.
 
 use std::collections;
+use std::time::Duration;
 
 use model::ids;
 use model::load;
@@ -13,6 +14,47 @@
     pub class: request::SizeClass,
     pub tokens: u64,
     pub granted_at: time::MonoTime,
+    /// When it was given back although the endpoint may still run its attempt.
+    pub released_at: Option<time::MonoTime>,
+}
+
+/// For how long some share of the voters has named this daemon the keeper without a gap.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TermSpan {
+    since: Option<time::MonoTime>,
+    held_to: time::MonoTime,
+}
+
+impl TermSpan {
+    /// Notes whether the voters name this daemon now. A gap of up to `resume` is no gap.
+    pub fn note(&mut self, now: time::MonoTime, named: bool, resume: Duration) {
+        if !named {
+            return;
+        }
+        if self.since.is_none() || now.since(self.held_to) > resume {
+            self.since = Some(now);
+        }
+        self.held_to = now;
+    }
+
+    /// Begin of the span that holds at `now`.
+    pub fn begin(&self, now: time::MonoTime) -> Option<time::MonoTime> {
+        self.since.filter(|_| self.held_to >= now)
+    }
+}
+
+/// What the voters of an endpoint said.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct VoteRecord {
+    /// The voters.
+    pub panel: Vec<ids::HostId>,
+    /// When each voter was asked that said yes last.
+    pub votes: collections::BTreeMap<ids::HostId, time::MonoTime>,
+    pub next_ask_at: time::MonoTime,
+    /// Term by more than half of the voters.
+    pub majority: TermSpan,
+    /// Term by half of the voters or more.
+    pub half: TermSpan,
 }
 
 /// Account of one endpoint.
@@ -25,11 +67,16 @@
     /// Last load reported, and when it was asked for.
     pub load: Option<load::EngineLoad>,
     pub load_asked_at: time::MonoTime,
+    /// When the report that has not come yet was asked for.
+    pub load_pending: Option<time::MonoTime>,
     pub next_load_at: time::MonoTime,
     /// Requests that the endpoint has earned the right to carry.
     pub carry: u32,
     /// Finished requests towards the next rise of `carry`.
     pub earned: u32,
+    /// When the endpoint refused or broke off last.
+    pub failed_at: Option<time::MonoTime>,
+    pub votes: VoteRecord,
     pub holds: collections::BTreeMap<ids::AttemptId, GrantHold>,
 }
 
