Relay changes of the configuration, and trust none that waited out a pause

Cause: each change sent the whole configuration to a data centre; a non-watcher that was told of a version told nobody; a silent watch went unnoticed while peers talked; after a pause, messages that had waited in the process's queues made an old configuration trusted: 16 attempts were started on a data centre taken out 5 s before (node test, peers and store cut on resume). Change: ConfigDelta with the version it starts from, a full push only on a gap; whoever learns outside the watch tells all watchers; a watcher without an answer for 2 s reads; after an absence only answers to what was asked since count.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod config;
+pub mod delta;
 pub mod ids;
 pub mod load;
 pub mod map;
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config;
+use crate::delta;
 use crate::ids;
 use crate::outcome;
 use crate::request;
@@ -101,6 +102,11 @@
         /// The sender's version.
         version: config::ConfigVersion,
     },
+    /// What changed in the configuration.
+    ConfigDelta {
+        /// The changes.
+        delta: sync::Arc<delta::ConfigDelta>,
+    },
     /// A configuration.
     ConfigPush {
         /// Its version.
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -126,7 +126,7 @@
     match event {
         event::NodeEvent::Tick => tick(state),
         event::NodeEvent::ConfigSeen { version, config } => {
-            systems::config::on_seen(state, version, config);
+            systems::config::on_accepted(state, version, config);
         }
         event::NodeEvent::WatchHeard => systems::config::on_heard(state),
         event::NodeEvent::HostsListed {
@@ -216,15 +216,21 @@
             version,
             updates,
         } => {
-            systems::membership::on_probe_reply(state, number, updates);
+            let verified = systems::membership::on_probe_reply(state, number, updates);
             systems::config::on_version(state, from, version);
+            if verified {
+                systems::config::on_verified(state);
+            }
         }
         peer::PeerMessage::ProbeFor { number, target } => {
             systems::membership::on_probe_for(state, from, number, target);
         }
         peer::PeerMessage::ConfigAsk { version } => systems::config::on_ask(state, from, version),
+        peer::PeerMessage::ConfigDelta { delta } => {
+            systems::config::on_delta(state, from, &delta);
+        }
         peer::PeerMessage::ConfigPush { version, config } => {
-            systems::config::on_seen(state, version, config);
+            systems::config::on_push(state, version, config);
         }
         peer::PeerMessage::VoteAsk {
             asked_at,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use model::config;
+use model::delta;
 use model::ids;
 use model::map;
 use model::peer;
@@ -26,8 +27,16 @@
 pub(crate) struct ConfigView {
     pub version: config::ConfigVersion,
     pub config: Option<sync::Arc<config::FleetConfig>>,
+    /// The changes that led to it, oldest first, each starting from the one before.
+    pub deltas: collections::VecDeque<sync::Arc<delta::ConfigDelta>>,
+    /// Newest version that a peer has named.
+    pub named: config::ConfigVersion,
     /// When the object API or a peer was last heard.
     pub heard_at: time::MonoTime,
+    /// When the object API was last heard.
+    pub store_heard_at: time::MonoTime,
+    /// Whether the daemon was away and only what was asked since then counts.
+    pub unverified: bool,
     /// Whether this daemon holds the watch.
     pub watching: bool,
     /// Membership generation, and whether roles are taken, when the watch was last decided.
@@ -117,6 +126,7 @@
         let rng = rngs::SmallRng::seed_from_u64(settings.seed);
         let config = ConfigView {
             heard_at: now,
+            store_heard_at: now,
             ..ConfigView::default()
         };
         Self {
--- a/crates/node/src/systems/config.rs
+++ b/crates/node/src/systems/config.rs
@@ -1,16 +1,19 @@
 //! Which configuration is in force.
 //!
-//! A few daemons of each data centre hold the watch and relay what they see. Each probe
-//! carries the version, so that whoever missed a relay asks for it at the next probe. The
+//! A few daemons of each data centre hold the watch and relay what changed. Each probe
+//! carries the version, so that whoever missed a relay asks for it at the next probe. A daemon
+//! that learns of a version outside the watch tells the watchers of all data centres. The
 //! version only rises.
 
 use std::sync;
 use std::time::Duration;
 
 use model::config;
+use model::delta;
 use model::ids;
 use model::peer;
 use model::store;
+use model::time;
 
 use crate::action;
 use crate::state;
@@ -22,6 +25,10 @@
 const WATCH_ROLE: &str = "config-watch";
 /// Time between two tries to read the configuration while there is none.
 const READ_PERIOD: Duration = Duration::from_millis(500);
+/// Time without an answer to the watch after which the configuration is read without it.
+const WATCH_SILENCE: Duration = Duration::from_millis(2_000);
+/// Changes kept for peers that missed them.
+const DELTAS_KEPT: usize = 16;
 /// Time without a word of the object API or any peer after which the configuration in force
 /// is not trusted any more: a data centre may have been taken out meanwhile.
 pub(crate) const TRUST_SPAN: Duration = Duration::from_secs(3);
@@ -30,7 +37,9 @@
 pub(crate) fn tick(state: &mut state::NodeState) {
     choose_watch(state);
     let silent = state.now.since(state.config.heard_at) > TRUST_SPAN;
-    let needed = state.config.config.is_none() || silent;
+    let store_silent = state.now.since(state.config.store_heard_at) > WATCH_SILENCE;
+    let unwatched = state.config.watching && store_silent;
+    let needed = state.config.config.is_none() || silent || unwatched;
     if needed && state.config.read.is_none() && state.now >= state.config.next_read_at {
         read(state);
     }
@@ -41,7 +50,8 @@
     if state.config.config.is_none() {
         return false;
     }
-    let fresh = state.now.since(state.config.heard_at) <= TRUST_SPAN;
+    let recent = state.now.since(state.config.heard_at) <= TRUST_SPAN;
+    let fresh = recent && !state.config.unverified;
     let alone = state
         .members
         .iter()
@@ -51,47 +61,139 @@
 
 /// The object API answered a watch: it is reachable and nothing newer was accepted.
 pub(crate) fn on_heard(state: &mut state::NodeState) {
-    state.config.heard_at = state.now;
+    state.config.store_heard_at = state.now;
+    on_peer_heard(state);
 }
 
-/// A configuration was seen, in the object API or at a peer.
-pub(crate) fn on_seen(
+/// Something came from a peer. After an absence it may have waited here for long.
+pub(crate) fn on_peer_heard(state: &mut state::NodeState) {
+    if !state.config.unverified {
+        state.config.heard_at = state.now;
+    }
+}
+
+/// Whoever was asked since this daemon's absence has answered.
+pub(crate) fn on_verified(state: &mut state::NodeState) {
+    if state.config.version >= state.config.named {
+        state.config.unverified = false;
+        state.config.heard_at = state.now;
+    }
+}
+
+/// Trusts the configuration no more until somebody who is asked from now on confirms it.
+pub(crate) fn distrust(state: &mut state::NodeState) {
+    state.config.unverified = true;
+    state.config.heard_at = time::MonoTime::default();
+    state.config.read = None;
+    state.config.next_read_at = state.now;
+}
+
+/// A configuration was seen in the object API, or by the command that had it accepted.
+pub(crate) fn on_accepted(
     state: &mut state::NodeState,
     version: config::ConfigVersion,
     config: sync::Arc<config::FleetConfig>,
 ) {
     on_heard(state);
+    if let Some(news) = adopt(state, version, config) {
+        relay(state, &news);
+        if !state.config.watching {
+            relay_afar(state, &news);
+        }
+    }
+}
+
+/// A peer sent a configuration.
+pub(crate) fn on_push(
+    state: &mut state::NodeState,
+    version: config::ConfigVersion,
+    config: sync::Arc<config::FleetConfig>,
+) {
+    let news = adopt(state, version, config);
+    pass_on(state, news);
+}
+
+/// A peer sent changes. Those that start from another version than the one in force show a
+/// gap, which the sender is asked to fill.
+pub(crate) fn on_delta(
+    state: &mut state::NodeState,
+    from: &ids::HostId,
+    delta: &sync::Arc<delta::ConfigDelta>,
+) {
+    let old = state.config.config.clone();
+    match old {
+        Some(old) if delta.base == state.config.version => {
+            let config = sync::Arc::new(delta.changes.apply(&old));
+            let news = adopt(state, delta.version, config);
+            pass_on(state, news);
+        }
+        _ => on_version(state, from, delta.version),
+    }
+}
+
+fn pass_on(state: &mut state::NodeState, news: Option<peer::PeerMessage>) {
+    if let Some(news) = news.filter(|_| state.config.watching) {
+        relay(state, &news);
+    }
+}
+
+/// Puts a configuration in force if it is newer. Returns what tells others of it.
+fn adopt(
+    state: &mut state::NodeState,
+    version: config::ConfigVersion,
+    config: sync::Arc<config::FleetConfig>,
+) -> Option<peer::PeerMessage> {
     if version <= state.config.version {
-        return;
+        return None;
     }
+    let base = state.config.version;
+    let old = state.config.config.replace(config.clone());
     state.config.version = version;
     state
         .endpoints
         .retain(|endpoint| config.endpoints.contains_key(endpoint));
-    state.config.config = Some(config.clone());
     state.note(action::NodeNote::ConfigInForce { version });
-    if state.config.watching {
-        relay(state, version, &config);
+    let Some(old) = old else {
+        return Some(peer::PeerMessage::ConfigPush { version, config });
+    };
+    let delta = sync::Arc::new(delta::ConfigDelta {
+        base,
+        version,
+        changes: delta::ConfigChanges::between(&old, &config),
+    });
+    state.config.deltas.push_back(delta.clone());
+    if state.config.deltas.len() > DELTAS_KEPT {
+        state.config.deltas.pop_front();
     }
+    Some(peer::PeerMessage::ConfigDelta { delta })
 }
 
-fn relay(
-    state: &mut state::NodeState,
-    version: config::ConfigVersion,
-    config: &sync::Arc<config::FleetConfig>,
-) {
+/// Tells this daemon's data centre.
+fn relay(state: &mut state::NodeState, news: &peer::PeerMessage) {
     let centre = state.settings.entry.data_centre.clone();
+    let hosts = state.usable_in(Some(&centre));
+    tell(state, hosts, news);
+}
+
+/// Tells the daemons that hold the watch in all other data centres, as they may not reach the
+/// object API.
+fn relay_afar(state: &mut state::NodeState, news: &peer::PeerMessage) {
+    let Some(config) = state.config.config.clone() else {
+        return;
+    };
+    let own = state.settings.entry.data_centre.clone();
+    let mut hosts = Vec::new();
+    for centre in config.data_centres.keys().filter(|centre| **centre != own) {
+        let ranked = state.rank(Some(centre), WATCH_ROLE);
+        hosts.extend(ranked.into_iter().take(WATCHERS));
+    }
+    tell(state, hosts, news);
+}
+
+fn tell(state: &mut state::NodeState, hosts: Vec<ids::HostId>, news: &peer::PeerMessage) {
     let own = state.host().clone();
-    for host in state.usable_in(Some(&centre)) {
-        if host != own {
-            state.send(
-                &host,
-                peer::PeerMessage::ConfigPush {
-                    version,
-                    config: config.clone(),
-                },
-            );
-        }
+    for host in hosts.iter().filter(|host| **host != own) {
+        state.send(host, news.clone());
     }
 }
 
@@ -101,6 +203,7 @@
     from: &ids::HostId,
     version: config::ConfigVersion,
 ) {
+    state.config.named = state.config.named.max(version);
     if version > state.config.version {
         let version = state.config.version;
         state.send(from, peer::PeerMessage::ConfigAsk { version });
@@ -116,9 +219,27 @@
     let Some(config) = state.config.config.clone() else {
         return;
     };
-    if state.config.version > version {
+    if state.config.version <= version {
+        return;
+    }
+    let first = state
+        .config
+        .deltas
+        .iter()
+        .position(|delta| delta.base == version);
+    let Some(first) = first else {
         let version = state.config.version;
         state.send(from, peer::PeerMessage::ConfigPush { version, config });
+        return;
+    };
+    let deltas = state
+        .config
+        .deltas
+        .range(first..)
+        .cloned()
+        .collect::<Vec<_>>();
+    for delta in deltas {
+        state.send(from, peer::PeerMessage::ConfigDelta { delta });
     }
 }
 
@@ -135,6 +256,7 @@
     systems::claims::note_store(state, reply);
     if !matches!(reply, store::StoreReply::Lost) {
         on_heard(state);
+        on_verified(state);
     }
     true
 }
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -111,7 +111,10 @@
         },
         earned: 0,
         failed_at: None,
-        votes: Default::default(),
+        votes: ledger::VoteRecord {
+            wanted_at: state.now,
+            ..Default::default()
+        },
         holds: Default::default(),
     };
     state.ledgers.ledgers.insert(id.clone(), account);
--- a/crates/node/src/systems/membership.rs
+++ b/crates/node/src/systems/membership.rs
@@ -55,7 +55,7 @@
     state.now = now;
     state.incarnation = ids::NodeIncarnation(state.incarnation.0 + 1);
     state.started_at = now;
-    state.config.heard_at = time::MonoTime::default();
+    systems::config::distrust(state);
     state.ledgers = Default::default();
     state.probes.pending.clear();
     state.probes.own_gossip_left = GOSSIP_COPIES;
@@ -237,7 +237,7 @@
 
 /// Any message proves that its sender lives.
 pub(crate) fn on_heard(state: &mut state::NodeState, envelope: &peer::PeerEnvelope) {
-    state.config.heard_at = state.now;
+    systems::config::on_peer_heard(state);
     let Some(member) = state.members.get(&envelope.from) else {
         return;
     };
@@ -298,23 +298,25 @@
     updates
 }
 
-/// Takes the answer to a probe.
+/// Takes the answer to a probe. Returns whether it answers a probe of this life.
 pub(crate) fn on_probe_reply(
     state: &mut state::NodeState,
     number: u64,
     updates: Vec<peer::MemberUpdate>,
-) {
+) -> bool {
     learn(state, updates);
     let Some(pending) = state.probes.pending.remove(&number) else {
-        return;
-    };
-    let Some(relay) = pending.relay_for else {
-        return;
+        return false;
     };
-    let news = state
-        .members
-        .get(&pending.target)
-        .map(|entry| entry.update.clone());
+    if let Some(relay) = pending.relay_for {
+        tell_asker(state, &pending.target, &relay);
+    }
+    true
+}
+
+/// Tells the daemon for which a member was probed that it answered.
+fn tell_asker(state: &mut state::NodeState, target: &ids::HostId, relay: &state::RelayedProbe) {
+    let news = state.members.get(target).map(|entry| entry.update.clone());
     let version = state.config.version;
     let updates = news.into_iter().collect();
     let reply = peer::PeerMessage::ProbeReply {
--- a/crates/node/src/systems/votes.rs
+++ b/crates/node/src/systems/votes.rs
@@ -29,6 +29,8 @@
 const VOTE_SPAN: Duration = Duration::from_secs(1);
 /// Time that a term must have lasted before the first grant.
 const TERM_WAIT: Duration = Duration::from_secs(3);
+/// Time for which votes are asked for after somebody wanted the endpoint.
+const DEMAND_SPAN: Duration = Duration::from_secs(60);
 /// Longest gap in a term after which nobody else can have granted yet.
 const RESUME_SPAN: Duration = Duration::from_secs(1);
 
@@ -51,7 +53,8 @@
         let Some(entry) = entry.filter(|entry| grants::is_cold(account, entry)) else {
             continue;
         };
-        if now >= account.votes.next_ask_at {
+        let wanted = now.since(account.votes.wanted_at) < DEMAND_SPAN;
+        if wanted && now >= account.votes.next_ask_at {
             account.votes.next_ask_at = now + VOTE_PERIOD;
             account.votes.panel = panel(state, id, entry);
             for host in &account.votes.panel {
@@ -107,10 +110,11 @@
         .collect()
 }
 
-/// Counts the votes for one endpoint at this moment.
+/// Counts the votes for one endpoint at this moment, as somebody wants it.
 pub(crate) fn refresh(state: &mut state::NodeState, id: &ids::EndpointId) {
     let own = state.host().clone();
     if let Some(account) = state.ledgers.ledgers.get_mut(id) {
+        account.votes.wanted_at = state.now;
         count(&own, state.now, account);
     }
 }
--- a/crates/node/src/tables/ledger.rs
+++ b/crates/node/src/tables/ledger.rs
@@ -51,6 +51,8 @@
     /// When each voter was asked that said yes last.
     pub votes: collections::BTreeMap<ids::HostId, time::MonoTime>,
     pub next_ask_at: time::MonoTime,
+    /// When somebody last wanted the endpoint.
+    pub wanted_at: time::MonoTime,
     /// Term by more than half of the voters.
     pub majority: TermSpan,
     /// Term by half of the voters or more.
--- a/crates/node/tests/nodes/mod.rs
+++ b/crates/node/tests/nodes/mod.rs
@@ -1,4 +1,5 @@
 //! A few machines driven by hand, with a lossy network and one cold engine.
+#![allow(dead_code)]
 
 use std::collections;
 use std::net;
@@ -55,6 +56,12 @@
     /// Most requests at once on the engine while it was cold.
     pub most_while_cold: usize,
     pub finished: u32,
+    /// Bytes of the messages that carry configuration.
+    pub config_bytes: usize,
+    /// Attempts started by each machine.
+    pub started_by: Vec<u32>,
+    /// Whether the object API's watches bring nothing.
+    pub silent_watch: bool,
     history: collections::VecDeque<(u64, Vec<ids::AttemptId>)>,
     parcels: collections::BTreeMap<(u64, u64), Parcel>,
     count: u64,
@@ -142,6 +149,9 @@
             running: collections::BTreeMap::new(),
             most_while_cold: 0,
             finished: 0,
+            config_bytes: 0,
+            started_by: vec![0; count],
+            silent_watch: false,
             history: collections::VecDeque::new(),
             parcels: collections::BTreeMap::new(),
             count: 0,
@@ -206,7 +216,7 @@
             if self.paused[index] {
                 continue;
             }
-            if self.now % 500 == 0 {
+            if self.now.is_multiple_of(500) && !self.silent_watch {
                 self.apply(index, event::NodeEvent::WatchHeard);
             }
             self.arrive(index);
@@ -330,7 +340,7 @@
             .iter()
             .map(|(attempt, (index, _))| (*attempt, *index));
         for (attempt, index) in progress.collect::<Vec<_>>() {
-            if now % 200 == 0 {
+            if now.is_multiple_of(200) {
                 self.put(
                     5,
                     Parcel::Event(index, event::NodeEvent::AttemptProgressed { attempt }),
@@ -344,6 +354,16 @@
         }
     }
 
+    /// A message as a machine sends it.
+    pub fn envelope(&self, from: usize, message: peer::PeerMessage) -> peer::PeerEnvelope {
+        peer::PeerEnvelope {
+            from: self.hosts[from].host.clone(),
+            incarnation: self.machines[from].incarnation(),
+            reply_to: address(from),
+            message,
+        }
+    }
+
     /// Hands a machine an event.
     pub fn apply(&mut self, index: usize, event: event::NodeEvent) {
         let now = time::MonoTime::from_millis(self.now);
@@ -360,6 +380,13 @@
                 if lost || self.cut.contains(&(index, target)) {
                     return;
                 }
+                let carries_config = matches!(
+                    envelope.message,
+                    peer::PeerMessage::ConfigDelta { .. } | peer::PeerMessage::ConfigPush { .. }
+                );
+                if carries_config {
+                    self.config_bytes += serde_json::to_string(&envelope).unwrap().len();
+                }
                 let event = event::NodeEvent::PeerReceived { envelope };
                 let copies = 1 + u32::from(self.rng.random_range(0..100) < self.loss);
                 for _ in 0..copies {
@@ -368,6 +395,7 @@
                 }
             }
             action::NodeAction::StartAttempt(order) => {
+                self.started_by[index] += 1;
                 let delay = self.rng.random_range(1..40);
                 self.put(delay, Parcel::Start(index, order));
             }
