--- a/crates/fakes/tests/cold_endpoints.rs
+++ b/crates/fakes/tests/cold_endpoints.rs
@@ -64,15 +64,22 @@
     }
 }
 
-async fn keeper(fleet: &fleet::ProcessFleet) -> Option<usize> {
-    for index in 0..fleet.daemons.len() {
-        let status = fleet.status(index).await;
-        let kept = status.and_then(|status| status["kept"].as_array().map(Vec::len));
-        if kept.is_some_and(|kept| kept > 0) {
-            return Some(index);
+async fn keeper(fleet: &fleet::ProcessFleet) -> usize {
+    let tries = async {
+        loop {
+            for index in 0..fleet.daemons.len() {
+                let status = fleet.status(index).await;
+                let kept = status.and_then(|status| status["kept"].as_array().map(Vec::len));
+                if kept.is_some_and(|kept| kept > 0) {
+                    return index;
+                }
+            }
+            time::sleep(Duration::from_millis(50)).await;
         }
-    }
-    None
+    };
+    time::timeout(SHOW_LIMIT, tries)
+        .await
+        .expect("no daemon keeps the engine")
 }
 
 async fn wait_admitted(fleet: &fleet::ProcessFleet, more_than: u64) -> engine::EngineWitness {
@@ -110,7 +117,7 @@
     let mut fleet = fleet::ProcessFleet::start(&plan(1_000)).await.unwrap();
     let load = FullLoad::start(&fleet);
     let before = wait_admitted(&fleet, 1).await;
-    let index = keeper(&fleet).await.unwrap();
+    let index = keeper(&fleet).await;
     fleet.daemons[index].process.as_mut().unwrap().kill();
     let witness = wait_admitted(&fleet, before.admitted + 3).await;
     drop(load);
@@ -123,7 +130,7 @@
     let load = FullLoad::start(&fleet);
     for pause in [1_200, 4_000] {
         let before = wait_admitted(&fleet, 1).await;
-        let index = keeper(&fleet).await.unwrap();
+        let index = keeper(&fleet).await;
         let process = fleet.daemons[index].process.as_ref().unwrap();
         process.freeze();
         time::sleep(Duration::from_millis(pause)).await;
