--- a/crates/fakes/tests/cold_endpoints.rs
+++ b/crates/fakes/tests/cold_endpoints.rs
@@ -158,3 +158,28 @@
     drop(load);
     assert_cold_bound(&witness);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_turns_cold_unannounced_falls_over_at_most_twice() {
+    let fleet = fleet::ProcessFleet::start(&plan(8)).await.unwrap();
+    let load = FullLoad::start(&fleet);
+    for step in 1..=2 {
+        let tries = async {
+            while fleet
+                .engine_witness(0)
+                .await
+                .is_none_or(|witness| witness.cold)
+            {
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        time::timeout(SHOW_LIMIT, tries).await.expect("never warm");
+        let warm = fleet.engine_witness(0).await.unwrap();
+        wait_admitted(&fleet, warm.admitted + 20).await;
+        let address = fleet.engines[0].address;
+        assert!(caller::send_json(address, http::Method::POST, "/fake/cold", &()).await);
+        let after = wait_admitted(&fleet, warm.admitted + 40).await;
+        assert!(after.overruns <= 2 * step, "after {step}: {after:?}");
+    }
+    drop(load);
+}
