--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -136,7 +136,10 @@
             incarnation,
             rng,
             members: member::MemberTable::default(),
-            probes: ProbeState::default(),
+            probes: ProbeState {
+                own_gossip_left: crate::systems::membership::GOSSIP_COPIES,
+                ..ProbeState::default()
+            },
             config,
             requests: request::RequestTable::default(),
             endpoints: endpoint::EndpointTable::default(),
--- a/crates/node/src/systems/membership.rs
+++ b/crates/node/src/systems/membership.rs
@@ -39,7 +39,7 @@
 /// Most news on the answer to a stranger.
 const UPDATES_FOR_STRANGER: usize = 48;
 /// Messages that carry one piece of news.
-const GOSSIP_COPIES: u32 = 8;
+pub(crate) const GOSSIP_COPIES: u32 = 8;
 /// Time between two readings of the host list.
 const LIST_PERIOD: Duration = Duration::from_secs(5);
 /// Time between two readings of the host list while no member is usable.
@@ -232,6 +232,7 @@
         changed_at: now,
         gossip_left: 0,
         listed: true,
+        left: false,
     }
 }
 
@@ -252,7 +253,10 @@
         return;
     }
     let mut update = known.clone();
-    update.state = peer::MemberState::Alive;
+    update.state = match member.left && !newer {
+        true => peer::MemberState::Leaving,
+        false => peer::MemberState::Alive,
+    };
     if newer {
         update.incarnation = envelope.incarnation;
         update.revision = 0;
@@ -338,7 +342,8 @@
         return;
     }
     if state.members.get(&target.host).is_none() {
-        let member = listed_member(target.clone(), state.now);
+        let mut member = listed_member(target.clone(), state.now);
+        member.listed = false;
         state.members.insert(member);
     }
     let relay = state::RelayedProbe {
@@ -392,6 +397,9 @@
         Some(member) => {
             let changed = member.update.state != update.state
                 || member.update.incarnation != update.incarnation;
+            let same_life = member.update.incarnation == update.incarnation;
+            let leaving = update.state == peer::MemberState::Leaving;
+            member.left = leaving || (member.left && same_life);
             member.update = update;
             member.gossip_left = GOSSIP_COPIES;
             if changed {
@@ -401,6 +409,7 @@
         }
         None => {
             let member = member::MemberEntry {
+                left: update.state == peer::MemberState::Leaving,
                 update,
                 changed_at: now,
                 gossip_left: GOSSIP_COPIES,
@@ -481,10 +490,7 @@
         return;
     }
     let mut update = member.update.clone();
-    update.state = match update.state {
-        peer::MemberState::Leaving => peer::MemberState::Dead,
-        _ => peer::MemberState::Suspect,
-    };
+    update.state = peer::MemberState::Suspect;
     set_update(state, update);
 }
 
--- a/crates/node/src/tables/member.rs
+++ b/crates/node/src/tables/member.rs
@@ -17,6 +17,8 @@
     pub gossip_left: u32,
     /// Whether the host list named it last time.
     pub listed: bool,
+    /// Whether it has said in this life that it is leaving.
+    pub left: bool,
 }
 
 impl MemberEntry {
--- a/crates/node/tests/cold_endpoints.rs
+++ b/crates/node/tests/cold_endpoints.rs
@@ -55,6 +55,16 @@
     assert_eq!(set.most_while_cold, nodes::COLD_SLOTS);
 }
 
+#[test]
+fn callers_that_go_away_do_not_make_room_before_the_engine_has_it() {
+    let mut set = nodes::NodeSet::start(3, 4);
+    set.callers_leave = true;
+    set.run(Duration::from_secs(30));
+    assert_eq!(set.most_while_cold, nodes::COLD_SLOTS);
+    assert!(set.started_by.iter().sum::<u32>() > 6);
+    assert!(set.is_cold());
+}
+
 /// A fault, or its end, for the property test.
 #[derive(Clone, Debug)]
 enum FaultStep {
--- a/crates/node/tests/nodes/mod.rs
+++ b/crates/node/tests/nodes/mod.rs
@@ -58,6 +58,8 @@
     pub finished: u32,
     /// Bytes of the messages that carry configuration.
     pub config_bytes: usize,
+    /// Whether callers go away before their answers are complete.
+    pub callers_leave: bool,
     /// Attempts started by each machine.
     pub started_by: Vec<u32>,
     /// Whether the object API's watches bring nothing.
@@ -66,6 +68,8 @@
     parcels: collections::BTreeMap<(u64, u64), Parcel>,
     count: u64,
     hosts: Vec<peer::HostEntry>,
+    /// The machine that the host list does not name.
+    pub unlisted: Option<usize>,
     rng: rngs::SmallRng,
 }
 
@@ -150,12 +154,14 @@
             most_while_cold: 0,
             finished: 0,
             config_bytes: 0,
+            callers_leave: false,
             started_by: vec![0; count],
             silent_watch: false,
             history: collections::VecDeque::new(),
             parcels: collections::BTreeMap::new(),
             count: 0,
             hosts,
+            unlisted: None,
             rng: rngs::SmallRng::seed_from_u64(seed),
         };
         let config = sync::Arc::new(one_engine());
@@ -313,6 +319,13 @@
             return;
         }
         let span = self.rng.random_range(2_000..9_000);
+        if self.callers_leave {
+            let event = event::NodeEvent::CallerGone {
+                request: attempt.request,
+            };
+            let delay = self.rng.random_range(100..1_500);
+            self.put(delay, Parcel::Event(index, event));
+        }
         self.running.insert(attempt, (index, self.now + span));
         if self.is_cold() {
             self.most_while_cold = self.most_while_cold.max(self.running.len());
@@ -415,8 +428,12 @@
                 );
             }
             action::NodeAction::ListHosts => {
+                let mut hosts = self.hosts.clone();
+                if let Some(unlisted) = self.unlisted {
+                    hosts.remove(unlisted);
+                }
                 let event = event::NodeEvent::HostsListed {
-                    hosts: self.hosts.clone(),
+                    hosts,
                     leaving_endpoints: Vec::new(),
                 };
                 self.put(20, Parcel::Event(index, event));
