--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -216,6 +216,8 @@
     Unused,
     /// It was sent and given up; the endpoint may still run it.
     Dropped,
+    /// It could not be sent: the endpoint took no connection.
+    Unreachable,
 }
 
 /// Whether a claimed call may be sent.
--- a/crates/node/src/systems/grants.rs
+++ b/crates/node/src/systems/grants.rs
@@ -38,7 +38,7 @@
 /// One in this many slots of an engine may be taken by long prompts.
 const LONG_SLOT_DIVISOR: u32 = 4;
 /// Percentage of an engine's memory that long prompts may take.
-const LONG_MEMORY_PERCENT: u64 = 75;
+pub(crate) const LONG_MEMORY_PERCENT: u64 = 75;
 
 /// What a sender asks of a keeper.
 #[derive(Clone, Debug)]
@@ -101,6 +101,7 @@
         ready_at: state.now + GRANT_SPAN,
         reports_load,
         load: None,
+        life: None,
         load_asked_at: state.now,
         load_pending: None,
         next_load_at: state.now,
@@ -184,12 +185,11 @@
     };
     let asked_at = account.load_pending.take();
     let Some((load, asked_at)) = load.zip(asked_at) else {
+        account.load = None;
         return;
     };
-    let restarted = account
-        .load
-        .as_ref()
-        .is_some_and(|old| old.incarnation != load.incarnation);
+    let restarted = account.life.is_some_and(|life| life != load.incarnation);
+    account.life = Some(load.incarnation);
     if restarted {
         account.carry = entry.cold_slots;
         account.earned = 0;
@@ -341,6 +341,7 @@
     match usage {
         peer::GrantUsage::Finished => earn(account, &entry),
         peer::GrantUsage::Failed => lose(account, &entry, now),
+        peer::GrantUsage::Unreachable => doubt(account),
         peer::GrantUsage::Dropped | peer::GrantUsage::Unused => {}
     }
 }
@@ -368,6 +369,12 @@
     }
 }
 
+/// An endpoint that takes no connection gets no grant before it reports its load again.
+fn doubt(account: &mut ledger::EndpointLedger) {
+    account.load = None;
+    account.next_load_at = time::MonoTime::default();
+}
+
 /// A refusal or a broken answer is evidence against the endpoint; two in a row take it back
 /// to its start. Its load is read at once, since it may have started anew.
 fn lose(account: &mut ledger::EndpointLedger, entry: &config::EndpointEntry, now: time::MonoTime) {
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod placement;
 pub(crate) mod reclaim;
 pub(crate) mod retry;
+pub(crate) mod sets;
 pub(crate) mod shards;
 pub(crate) mod votes;
