--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::front;
 use crate::logs;
 use crate::shared;
+use crate::traffic;
 use crate::watch;
 
 /// Time between two copies of the state for the ports.
@@ -39,6 +40,8 @@
         event: event::NodeEvent,
         payload: Option<caller::CallerPart>,
     },
+    /// Messages of a peer.
+    Delivered(peer::server::PeerDelivery),
     /// A caller's request.
     Arrived(caller::ArrivedRequest),
 }
@@ -73,6 +76,7 @@
     pub host: ids::HostId,
     pub platform: client::PlatformClient,
     pub links: peer::links::PeerLinks,
+    pub control: sync::Arc<traffic::ControlTraffic>,
     pub shared: sync::Arc<shared::SharedState>,
     pub inputs: mpsc::Sender<DriverInput>,
     pub exit: oneshot::Sender<()>,
@@ -87,6 +91,10 @@
     watch: Option<task::AbortHandle>,
     status_at: time::Instant,
     copied_version: config::ConfigVersion,
+    config_since: time::Instant,
+    /// Peer whose call is being taken, and what goes back in its reply.
+    answering: Option<std::net::SocketAddr>,
+    answers: Vec<model::peer::PeerEnvelope>,
 }
 
 impl NodeDriver {
@@ -101,6 +109,9 @@
             watch: None,
             status_at: time::Instant::now(),
             copied_version: config::ConfigVersion::default(),
+            config_since: time::Instant::now(),
+            answering: None,
+            answers: Vec::new(),
         }
     }
 
@@ -123,10 +134,34 @@
     fn take(&mut self, input: DriverInput) {
         match input {
             DriverInput::Event { event, payload } => self.step(event, payload),
+            DriverInput::Delivered(delivery) => self.receive(delivery),
             DriverInput::Arrived(arrived) => self.admit(arrived),
         }
     }
 
+    /// Takes a peer's messages; what goes back to it at once goes as the reply to its call.
+    fn receive(&mut self, delivery: peer::server::PeerDelivery) {
+        let reply_to = delivery.envelopes.first().map(|first| first.reply_to);
+        self.answering = reply_to.filter(|_| delivery.answers.is_some());
+        for envelope in delivery.envelopes {
+            self.step(event::NodeEvent::PeerReceived { envelope }, None);
+        }
+        self.answering = None;
+        let envelopes = std::mem::take(&mut self.answers);
+        if let Some(answers) = delivery.answers {
+            // A peer that has given up its call asks again.
+            let _ = answers.send(envelopes);
+        }
+    }
+
+    fn send_peer(&mut self, to: std::net::SocketAddr, envelope: model::peer::PeerEnvelope) {
+        if self.answering == Some(to) {
+            self.answers.push(envelope);
+        } else {
+            self.parts.links.send(to, envelope);
+        }
+    }
+
     fn admit(&mut self, arrived: caller::ArrivedRequest) {
         let id = self.parts.shared.ids.draw();
         let head = request::RequestHead {
@@ -141,6 +176,7 @@
             _lease: arrived.lease,
             parts: arrived.parts,
         };
+        logs::write_arrival(&head);
         // The queue is new and has room.
         let _ = entry.parts.try_send(caller::CallerPart::Accepted(id));
         self.callers.insert(id, entry);
@@ -167,7 +203,7 @@
 
     fn carry_out(&mut self, action: action::NodeAction, payload: &mut Option<caller::CallerPart>) {
         match action {
-            action::NodeAction::SendPeer { to, envelope } => self.parts.links.send(to, envelope),
+            action::NodeAction::SendPeer { to, envelope } => self.send_peer(to, envelope),
             action::NodeAction::StartAttempt(order) => self.start_attempt(order),
             action::NodeAction::DropAttempt { attempt } => {
                 if let Some(handle) = self.attempts.remove(&attempt) {
@@ -201,6 +237,7 @@
 
     fn start_attempt(&mut self, order: action::AttemptOrder) {
         let attempt = order.attempt;
+        log::debug!(target: "sardinepaddle", "request: {} attempt {} on {}", attempt.request, attempt.number, order.endpoint);
         let Some(entry) = self.callers.get(&attempt.request) else {
             return;
         };
@@ -241,7 +278,7 @@
         let Some(entry) = self.callers.remove(&request) else {
             return;
         };
-        log::debug!(target: "sardinepaddle", "request: {request} {}", shared::outcome_name(&outcome));
+        logs::write_outcome(request, &outcome);
         tokio::spawn(async move {
             if let Some(part @ caller::CallerPart::Answer(_)) = payload {
                 // A caller that has gone needs no answer.
@@ -259,8 +296,11 @@
     }
 
     fn read_load(&self, endpoint: ids::EndpointId, address: std::net::SocketAddr) {
+        let control = self.parts.control.clone();
         self.spawn_event(async move {
-            let load = engine_client::load(address).await;
+            let reading = engine_client::load(address).await;
+            control.loads.add(reading.body_bytes);
+            let load = reading.load;
             Some(event::NodeEvent::LoadReported { endpoint, load })
         });
     }
@@ -325,6 +365,7 @@
             return;
         }
         self.copied_version = version;
+        self.config_since = time::Instant::now();
         let config = self.parts.machine.config();
         *self
             .parts
@@ -351,6 +392,9 @@
             members: machine.members(),
             kept: machine.kept_endpoints(),
             stats: machine.stats().clone(),
+            config_age_ms: u64::try_from(self.config_since.elapsed().as_millis())
+                .unwrap_or(u64::MAX),
+            control: traffic::ControlStatus::default(),
         };
         *shared
             .status
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time::Duration;
 
 use jsonrpsee::core::client::ClientT;
@@ -14,6 +13,7 @@
 use tokio::time;
 
 use crate::server;
+use crate::stream;
 use crate::traffic;
 
 /// Messages that wait for one peer; more are dropped.
@@ -24,21 +24,25 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(750);
 /// Time after which an unused link is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// Bytes of a call around its parameters.
-const CALL_OVERHEAD_BYTES: usize = 64;
 
 /// Links to all peers spoken to of late.
 #[derive(Debug)]
 pub struct PeerLinks {
     links: map::HashMap<net::SocketAddr, mpsc::Sender<peer::PeerEnvelope>>,
+    inbox: mpsc::Sender<server::PeerDelivery>,
     traffic: sync::Arc<traffic::PeerTraffic>,
 }
 
 impl PeerLinks {
-    /// Makes links that count into `traffic`. Connects when first used.
-    pub fn new(traffic: sync::Arc<traffic::PeerTraffic>) -> Self {
+    /// Makes links that pass peers' answers to `inbox` and count into `traffic`. Connects when
+    /// first used.
+    pub fn new(
+        inbox: mpsc::Sender<server::PeerDelivery>,
+        traffic: sync::Arc<traffic::PeerTraffic>,
+    ) -> Self {
         Self {
             links: map::HashMap::default(),
+            inbox,
             traffic,
         }
     }
@@ -61,10 +65,10 @@
     }
 
     fn link(&mut self, to: net::SocketAddr) -> &mpsc::Sender<peer::PeerEnvelope> {
-        let traffic = &self.traffic;
+        let (inbox, traffic) = (&self.inbox, &self.traffic);
         self.links.entry(to).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
-            tokio::spawn(run(to, receiver, traffic.clone()));
+            tokio::spawn(run(to, receiver, inbox.clone(), traffic.clone()));
             sender
         })
     }
@@ -73,6 +77,7 @@
 async fn run(
     to: net::SocketAddr,
     mut queue: mpsc::Receiver<peer::PeerEnvelope>,
+    inbox: mpsc::Sender<server::PeerDelivery>,
     traffic: sync::Arc<traffic::PeerTraffic>,
 ) {
     let mut client = None;
@@ -83,46 +88,57 @@
             return;
         }
         let count = batch.len();
-        if !deliver(to, &mut client, &batch, &traffic).await {
-            client = None;
-            traffic::PeerTraffic::add(&traffic.dropped, count);
+        match deliver(to, &mut client, &batch, &traffic).await {
+            Some(envelopes) if envelopes.is_empty() => {}
+            Some(envelopes) => {
+                let delivery = server::PeerDelivery {
+                    envelopes,
+                    answers: None,
+                };
+                // The inbox is closed only at the end of the process.
+                let _ = inbox.send(delivery).await;
+            }
+            None => {
+                client = None;
+                traffic::PeerTraffic::add(&traffic.dropped, count);
+            }
         }
         batch.clear();
     }
 }
 
+/// Delivers messages and returns what the peer answers; `None` if it did not take them.
 async fn deliver(
     to: net::SocketAddr,
     client: &mut Option<ws_client::WsClient>,
     batch: &[peer::PeerEnvelope],
-    traffic: &traffic::PeerTraffic,
-) -> bool {
-    let Ok(text) = serde_json::to_string(&[batch]) else {
-        return false;
-    };
+    traffic: &sync::Arc<traffic::PeerTraffic>,
+) -> Option<Vec<peer::PeerEnvelope>> {
     if client.as_ref().is_none_or(|client| !client.is_connected()) {
-        *client = dial(to).await;
+        *client = dial(to, traffic).await;
     }
-    let Some(client) = client else {
-        return false;
-    };
-    let bytes = text.len() + CALL_OVERHEAD_BYTES;
-    traffic
-        .sent_bytes
-        .fetch_add(bytes as u64, atomic::Ordering::Relaxed);
+    let client = client.as_ref()?;
     traffic::PeerTraffic::add(&traffic.sent_calls, 1);
     let mut params = params::ArrayParams::new();
-    if params.insert(batch).is_err() {
-        return false;
-    }
-    let call = client.request::<bool, _>(server::DELIVER_METHOD, params);
-    matches!(time::timeout(REPLY_LIMIT, call).await, Ok(Ok(true)))
+    params.insert(batch).ok()?;
+    let call = client.request::<Vec<peer::PeerEnvelope>, _>(server::DELIVER_METHOD, params);
+    time::timeout(REPLY_LIMIT, call).await.ok()?.ok()
 }
 
-async fn dial(to: net::SocketAddr) -> Option<ws_client::WsClient> {
-    let client = ws_client::WsClientBuilder::default()
+async fn dial(
+    to: net::SocketAddr,
+    traffic: &sync::Arc<traffic::PeerTraffic>,
+) -> Option<ws_client::WsClient> {
+    traffic::PeerTraffic::add(&traffic.dials, 1);
+    let builder = ws_client::WsClientBuilder::default()
         .connection_timeout(REPLY_LIMIT)
-        .request_timeout(REPLY_LIMIT)
-        .build(format!("ws://{to}"));
-    time::timeout(REPLY_LIMIT, client).await.ok()?.ok()
+        .request_timeout(REPLY_LIMIT);
+    let building = async {
+        let stream = tokio::net::TcpStream::connect(to).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let stream = stream::CountedStream::new(stream, traffic.clone());
+        let client = builder.build_with_stream(format!("ws://{to}"), stream);
+        client.await.ok()
+    };
+    time::timeout(REPLY_LIMIT, building).await.ok().flatten()
 }
