--- a/crates/fakes/tests/configuration.rs
+++ b/crates/fakes/tests/configuration.rs
@@ -137,7 +137,10 @@
     let fleet = fleet::ProcessFleet::start(&plan()).await.unwrap();
     let unit = &fleet.daemons[0];
     unit.store_link.control().set(proxy::LinkFault::Cut);
-    unit.peer_link.control().set(proxy::LinkFault::Cut);
+    // A peer answers over the connection that it was asked on, so both directions must go.
+    for peer in &fleet.daemons {
+        peer.peer_link.control().set(proxy::LinkFault::Cut);
+    }
     time::sleep(FORCE_LIMIT).await;
     let status = fleet.status(0).await.unwrap();
     assert_eq!(status["ready"], serde_json::json!(false), "{status}");
--- a/crates/fakes/tests/taken_out.rs
+++ b/crates/fakes/tests/taken_out.rs
@@ -132,7 +132,10 @@
     wait_admitted(&fleet, &[0], 5).await;
     let unit = &fleet.daemons[0];
     unit.store_link.control().set(proxy::LinkFault::Blackhole);
-    unit.peer_link.control().set(proxy::LinkFault::Blackhole);
+    // A peer answers over the connection that it was asked on, so both directions must go.
+    for peer in &fleet.daemons {
+        peer.peer_link.control().set(proxy::LinkFault::Blackhole);
+    }
     take_out(&fleet).await;
     assert_no_new_work(&fleet).await;
     drop(load);
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -106,11 +106,6 @@
     required("host_list", ValueShape::Address),
 ];
 
-const NETWORKS: &[FieldShape] = &[
-    defaulted("peers", ValueShape::List(&ValueShape::Network)),
-    defaulted("admin", ValueShape::List(&ValueShape::Network)),
-];
-
 const LIMITS: &[FieldShape] = &[
     defaulted("body_bytes", LARGE_COUNT),
     defaulted("header_bytes", LARGE_COUNT),
