--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -9,9 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config;
+use crate::delta;
 use crate::ids;
 use crate::outcome;
 use crate::request;
+use crate::time;
 
 /// A daemon as others know it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -115,6 +117,11 @@
         /// The sender's version.
         version: config::ConfigVersion,
     },
+    /// What changed in the configuration.
+    ConfigDelta {
+        /// The changes.
+        delta: sync::Arc<delta::ConfigDelta>,
+    },
     /// A configuration.
     ConfigPush {
         /// Its version.
@@ -122,6 +129,24 @@
         /// The configuration.
         config: sync::Arc<config::FleetConfig>,
     },
+    /// Asks whether the receiver, too, takes the sender as the keeper of endpoints.
+    VoteAsk {
+        /// The sender's clock, to be given back.
+        asked_at: time::MonoTime,
+        /// The sender's life, to be given back.
+        life: ids::NodeIncarnation,
+        /// The endpoints.
+        endpoints: Vec<ids::EndpointId>,
+    },
+    /// Answers a [`PeerMessage::VoteAsk`].
+    VoteReply {
+        /// Time given in the question.
+        asked_at: time::MonoTime,
+        /// Life given in the question.
+        life: ids::NodeIncarnation,
+        /// Those endpoints of which the sender takes the receiver as the keeper.
+        endpoints: Vec<ids::EndpointId>,
+    },
     /// Asks the keeper of an endpoint for the right to send one attempt.
     #[serde(rename = "ga")]
     GrantAsk {
@@ -219,6 +244,8 @@
     Failed,
     /// It was not sent.
     Unused,
+    /// It was sent and given up; the endpoint may still run it.
+    Dropped,
     /// It could not be sent: the endpoint took no connection.
     Unreachable,
 }
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -126,7 +126,7 @@
     match event {
         event::NodeEvent::Tick => tick(state),
         event::NodeEvent::ConfigSeen { version, config } => {
-            systems::config::on_seen(state, version, config);
+            systems::config::on_accepted(state, version, config);
         }
         event::NodeEvent::WatchHeard => systems::config::on_heard(state),
         event::NodeEvent::HostsListed {
@@ -176,6 +176,7 @@
     systems::membership::tick(state);
     systems::config::tick(state);
     systems::grants::tick(state);
+    systems::votes::tick(state);
     systems::claims::tick(state);
     systems::placement::tick(state);
     systems::queues::tick(state);
@@ -220,16 +221,32 @@
             version,
             updates,
         } => {
-            systems::membership::on_probe_reply(state, number, updates);
+            let verified = systems::membership::on_probe_reply(state, number, updates);
             systems::config::on_version(state, from, version);
+            if verified {
+                systems::config::on_verified(state);
+            }
         }
         peer::PeerMessage::ProbeFor { number, target } => {
             systems::membership::on_probe_for(state, from, number, target);
         }
         peer::PeerMessage::ConfigAsk { version } => systems::config::on_ask(state, from, version),
+        peer::PeerMessage::ConfigDelta { delta } => {
+            systems::config::on_delta(state, from, &delta);
+        }
         peer::PeerMessage::ConfigPush { version, config } => {
-            systems::config::on_seen(state, version, config);
+            systems::config::on_push(state, version, config);
         }
+        peer::PeerMessage::VoteAsk {
+            asked_at,
+            life,
+            endpoints,
+        } => systems::votes::on_ask(state, from, asked_at, life, endpoints),
+        peer::PeerMessage::VoteReply {
+            asked_at,
+            life,
+            endpoints,
+        } => systems::votes::on_reply(state, from, asked_at, life, endpoints),
         peer::PeerMessage::GrantAsk {
             endpoint,
             attempt,
--- a/crates/node/src/systems/mod.rs
+++ b/crates/node/src/systems/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod sets;
 pub(crate) mod shards;
 pub(crate) mod shares;
+pub(crate) mod votes;
