Keep sent claims claimed, confirm settlements, and free what nobody reads

Cause 1: a doubled or late verdict 'recorded' made a daemon release the claim of a call that had run, if the word of its end was still under way; a repeat ran again. Change: only requests known to have ended unsent are released. Cause 2: the word on how a call ended was told once, over messages that get lost; the key stayed held by a living daemon and repeats got earlier_call_running. Seen: lost_settlement_does_not_block_the_repeat. Change: told until the shard's owner confirms what it has written (ClaimSettled). Cause 3: a cancel that overtakes its request left a stream that no keeper took, since its owner lived. Cause 4: a keeper cut off from its peers cancelled their running streams. Change: a keeper frees what has had no reader for 3 s, whoever owns it, and what is read only after a newer life of its owner, or after longer than any request lasts.

--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -165,6 +165,11 @@
         /// How it ended.
         settlement: ClaimSettlement,
     },
+    /// Confirms that a [`PeerMessage::ClaimSettle`] is recorded, or that nothing is left to record.
+    ClaimSettled {
+        /// The request that held the claim.
+        request: ids::RequestId,
+    },
 }
 
 /// Whether an attempt may be sent.
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -267,14 +267,17 @@
             request,
             verdict,
         } => {
-            systems::claims::on_verdict(state, from, key, request, verdict);
+            systems::claims::on_verdict(state, key, request, verdict);
         }
         peer::PeerMessage::ClaimSettle {
             key,
             request,
             settlement,
         } => {
-            systems::claims::on_settle(state, key, request, settlement);
+            systems::claims::on_settle(state, from, key, request, settlement);
+        }
+        peer::PeerMessage::ClaimSettled { request } => {
+            systems::claims::on_settled(state, request);
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -79,6 +79,14 @@
     pub tries: u32,
 }
 
+/// A stream on an engine that seems of no use.
+#[derive(Clone, Debug)]
+pub(crate) struct IdleStream {
+    pub endpoint: ids::EndpointId,
+    pub attached: bool,
+    pub since: time::MonoTime,
+}
+
 /// State of the drain system.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DrainState {
@@ -103,6 +111,7 @@
     pub ledgers: ledger::LedgerTable,
     pub claims: claim::ClaimTable,
     pub cancels: map::HashMap<ids::AttemptId, CancelEntry>,
+    pub idle_streams: map::HashMap<ids::AttemptId, IdleStream>,
     pub retry_tokens: f64,
     pub drain: DrainState,
     pub stats: stats::NodeStats,
@@ -133,6 +142,7 @@
             ledgers: ledger::LedgerTable::default(),
             claims: claim::ClaimTable::default(),
             cancels: map::HashMap::default(),
+            idle_streams: map::HashMap::default(),
             retry_tokens: crate::systems::retry::BUDGET_CAP,
             drain: DrainState::default(),
             stats: stats::NodeStats::default(),
--- a/crates/node/src/systems/claims.rs
+++ b/crates/node/src/systems/claims.rs
@@ -27,6 +27,8 @@
 const TAKEN_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which an unrecorded claim waits for the object API.
 const RECORD_SPAN: Duration = Duration::from_millis(500);
+/// Time between two tellings of a settlement that is not confirmed.
+const SETTLE_PERIOD: Duration = Duration::from_secs(1);
 /// Time for which a settlement waits for the object API.
 const SETTLE_SPAN: Duration = Duration::from_secs(300);
 /// Time between two tries of an object API that does not answer.
@@ -68,30 +70,61 @@
     ranked
 }
 
-/// Tells the owner of a key's shard how the call ended.
+/// Tells the owner of a key's shard how the call ended, until it confirms.
 pub(crate) fn settle(
     state: &mut state::NodeState,
     key: ids::ClaimKey,
     id: ids::RequestId,
     settlement: peer::ClaimSettlement,
 ) {
-    let Some(owner) = owners(state, &key).first().cloned() else {
-        return;
+    let now = state.now;
+    if settlement == peer::ClaimSettlement::NotSent {
+        state.claims.unsent.insert(id, now);
+    }
+    let open = claim::OpenSettlement {
+        key,
+        settlement,
+        since: now,
+        next_at: now,
     };
-    state.send(
-        &owner,
-        peer::PeerMessage::ClaimSettle {
-            key,
-            request: id,
-            settlement,
-        },
-    );
+    state.claims.open.insert(id, open);
+    tell_settlements(state);
+}
+
+/// Sends the settlements that are due, and forgets those that are too old to matter.
+fn tell_settlements(state: &mut state::NodeState) {
+    let now = state.now;
+    let mut due = Vec::new();
+    state.claims.open.retain(|id, open| {
+        if now >= open.next_at {
+            open.next_at = now + SETTLE_PERIOD;
+            due.push((*id, open.key.clone(), open.settlement.clone()));
+        }
+        now.since(open.since) <= SETTLE_SPAN
+    });
+    for (request, key, settlement) in due {
+        let Some(owner) = owners(state, &key).first().cloned() else {
+            continue;
+        };
+        state.send(
+            &owner,
+            peer::PeerMessage::ClaimSettle {
+                key,
+                request,
+                settlement,
+            },
+        );
+    }
+}
+
+/// An owner has recorded how a call ended.
+pub(crate) fn on_settled(state: &mut state::NodeState, id: ids::RequestId) {
+    state.claims.open.remove(&id);
 }
 
 /// Takes an owner's verdict.
 pub(crate) fn on_verdict(
     state: &mut state::NodeState,
-    from: &ids::HostId,
     key: ids::ClaimKey,
     id: ids::RequestId,
     verdict: peer::ClaimVerdict,
@@ -101,7 +134,7 @@
             && entry.head.claim() == Some(&key)
     });
     if !claiming {
-        on_late_verdict(state, from, key, id, &verdict);
+        on_late_verdict(state, key, id, &verdict);
         return;
     }
     match verdict {
@@ -142,25 +175,17 @@
     }
 }
 
-/// A claim recorded for a request that has ended unsent must not block the caller's repeat.
+/// A claim recorded for a request that has ended unsent must not block the caller's repeat. One
+/// that was sent stays claimed, however late or doubled the verdict is.
 fn on_late_verdict(
     state: &mut state::NodeState,
-    from: &ids::HostId,
     key: ids::ClaimKey,
     id: ids::RequestId,
     verdict: &peer::ClaimVerdict,
 ) {
-    let ended = state.requests.get(&id).is_none() && id.node == state.incarnation;
-    if ended && *verdict == peer::ClaimVerdict::Recorded {
-        let settlement = peer::ClaimSettlement::NotSent;
-        state.send(
-            from,
-            peer::PeerMessage::ClaimSettle {
-                key,
-                request: id,
-                settlement,
-            },
-        );
+    let unsent = state.claims.unsent.contains_key(&id);
+    if unsent && *verdict == peer::ClaimVerdict::Recorded {
+        settle(state, key, id, peer::ClaimSettlement::NotSent);
     }
 }
 
@@ -200,11 +225,16 @@
 /// Takes a peer's word on how a claimed call ended.
 pub(crate) fn on_settle(
     state: &mut state::NodeState,
+    from: &ids::HostId,
     key: ids::ClaimKey,
     id: ids::RequestId,
     settlement: peer::ClaimSettlement,
 ) {
-    let kind = claim::TaskKind::Settle { settlement };
+    if is_queued(state, &key, id) {
+        return;
+    }
+    let teller = from.clone();
+    let kind = claim::TaskKind::Settle { teller, settlement };
     push(
         state,
         claim::ClaimTask {
@@ -216,6 +246,18 @@
     );
 }
 
+/// Whether a settlement of this request waits already.
+fn is_queued(state: &state::NodeState, key: &ids::ClaimKey, id: ids::RequestId) -> bool {
+    let shard = key.shard(state.settings.claim_shards);
+    let entry = state.claims.shards.get(&shard);
+    entry.is_some_and(|entry| {
+        entry
+            .tasks
+            .iter()
+            .any(|task| task.request == id && matches!(task.kind, claim::TaskKind::Settle { .. }))
+    })
+}
+
 fn push(state: &mut state::NodeState, task: claim::ClaimTask) {
     let shard = task.key.shard(state.settings.claim_shards);
     let entry = state.claims.shards.entry(shard).or_default();
@@ -230,6 +272,8 @@
 /// Works on all shards with something to write, and refuses what waited too long.
 pub(crate) fn tick(state: &mut state::NodeState) {
     ask_again(state);
+    tell_settlements(state);
+    forget_unsent(state);
     let shards = state.claims.shards.keys().copied().collect::<Vec<_>>();
     for shard in shards {
         expire_tasks(state, shard);
@@ -238,6 +282,14 @@
     probe_store(state);
 }
 
+fn forget_unsent(state: &mut state::NodeState) {
+    let now = state.now;
+    state
+        .claims
+        .unsent
+        .retain(|_, since| now.since(*since) <= SETTLE_SPAN);
+}
+
 fn ask_again(state: &mut state::NodeState) {
     let now = state.now;
     let mut due = Vec::new();
@@ -310,6 +362,14 @@
     }
 }
 
+/// Tells the host that a settlement is recorded.
+pub(crate) fn confirm(state: &mut state::NodeState, task: &claim::ClaimTask) {
+    if let claim::TaskKind::Settle { teller, .. } = &task.kind {
+        let request = task.request;
+        state.send(teller, peer::PeerMessage::ClaimSettled { request });
+    }
+}
+
 /// Tells the host that asked.
 pub(crate) fn answer(
     state: &mut state::NodeState,
@@ -354,9 +414,7 @@
 
 /// Whether nothing waits to be written.
 pub(crate) fn is_idle(state: &state::NodeState) -> bool {
-    state
-        .claims
-        .shards
-        .values()
-        .all(|entry| entry.tasks.is_empty() && entry.call.is_none())
+    let told = state.claims.open.is_empty();
+    let mut shards = state.claims.shards.values();
+    told && shards.all(|entry| entry.tasks.is_empty() && entry.call.is_none())
 }
--- a/crates/node/src/systems/reclaim.rs
+++ b/crates/node/src/systems/reclaim.rs
@@ -1,7 +1,8 @@
 //! What an attempt holds on an engine is owned until the engine confirms that it is free.
 //!
-//! The sender repeats a cancel until it is confirmed. When the sender is dead, the endpoint's
-//! keeper cancels what the engine still lists for it, and never a living daemon's stream.
+//! The sender repeats a cancel until it is confirmed. Beside it the endpoint's keeper cancels
+//! what the engine lists and nobody reads, whoever sent it: a cancel can overtake its request.
+//! It never takes a stream from a daemon that still reads it.
 
 use std::time::Duration;
 
@@ -18,11 +19,10 @@
 const CANCEL_PERIOD_MAX: Duration = Duration::from_secs(5);
 /// Repeats after which the keeper's listing is left to do the work.
 const CANCEL_TRIES: u32 = 60;
-/// Time for which a daemon must have been dead. Longer than the pause after which a daemon
-/// takes itself for dead.
-const DEAD_SPAN: Duration = Duration::from_secs(3);
-/// Time after which a life of which nothing was heard counts as dead.
-const UNHEARD_SPAN: Duration = Duration::from_secs(12);
+/// Time for which a stream must have been without a reader.
+const DETACHED_SPAN: Duration = Duration::from_secs(3);
+/// Time after which no request still runs; what a silent daemon then holds is left behind.
+const LONGEST_REQUEST: Duration = Duration::from_secs(660);
 
 /// Cancels an attempt until its engine confirms.
 pub(crate) fn cancel(
@@ -76,14 +76,15 @@
     state.cancels.remove(&attempt);
 }
 
-/// Looks through an engine's streams for those of dead daemons.
+/// Looks through an engine's streams for those that nobody can use any more.
 pub(crate) fn on_streams(
     state: &mut state::NodeState,
     endpoint: &ids::EndpointId,
     streams: &[load::EngineStream],
 ) {
+    forget_idle(state, endpoint, streams);
     for stream in streams {
-        if state.cancels.contains_key(&stream.attempt) || !is_ownerless(state, stream.attempt) {
+        if state.cancels.contains_key(&stream.attempt) || !is_idle(state, endpoint, stream) {
             continue;
         }
         state.stats.reclaimed += 1;
@@ -94,15 +95,53 @@
     }
 }
 
-fn is_ownerless(state: &state::NodeState, attempt: ids::AttemptId) -> bool {
-    let owner = attempt.request.node;
-    if owner == state.incarnation {
-        return state.requests.get(&attempt.request).is_none();
+fn forget_idle(
+    state: &mut state::NodeState,
+    endpoint: &ids::EndpointId,
+    streams: &[load::EngineStream],
+) {
+    state.idle_streams.retain(|attempt, entry| {
+        let listed = streams.iter().any(|stream| stream.attempt == *attempt);
+        entry.endpoint != *endpoint || listed
+    });
+}
+
+/// Whether a stream has been of no use for long enough. One that is read is of use unless its
+/// owner is gone beyond doubt: a daemon that only peers cannot reach still reads.
+fn is_idle(
+    state: &mut state::NodeState,
+    endpoint: &ids::EndpointId,
+    stream: &load::EngineStream,
+) -> bool {
+    let owner = stream.attempt.request.node;
+    let life = state.members.life(owner);
+    let own = owner == state.incarnation;
+    let over = own && state.requests.get(&stream.attempt.request).is_none();
+    if over || life == member::LifeState::Replaced {
+        return true;
     }
-    match state.members.life(owner) {
-        member::LifeState::Living => false,
-        member::LifeState::Replaced => true,
-        member::LifeState::DeadSince(since) => state.now.since(since) > DEAD_SPAN,
-        member::LifeState::Unheard => state.now.since(state.started_at) > UNHEARD_SPAN,
+    let silent = !own && life != member::LifeState::Living;
+    if stream.attached && !silent {
+        state.idle_streams.remove(&stream.attempt);
+        return false;
     }
+    let now = state.now;
+    let fresh = || state::IdleStream {
+        endpoint: endpoint.clone(),
+        attached: stream.attached,
+        since: now,
+    };
+    let entry = state
+        .idle_streams
+        .entry(stream.attempt)
+        .or_insert_with(fresh);
+    if entry.attached != stream.attached {
+        *entry = fresh();
+    }
+    let span = if stream.attached {
+        LONGEST_REQUEST
+    } else {
+        DETACHED_SPAN
+    };
+    now.since(entry.since) > span
 }
--- a/crates/node/src/systems/shards.rs
+++ b/crates/node/src/systems/shards.rs
@@ -140,7 +140,7 @@
         };
         match apply(entry, known, &mut head, &task, wall_ms) {
             TaskResult::Change => left.push(task),
-            TaskResult::Nothing => {}
+            TaskResult::Nothing => claims::confirm(state, &task),
             TaskResult::Verdict(verdict) => claims::answer(state, &task, verdict),
             TaskResult::Taken(record) => {
                 let verdict = judge_holder(state, &record);
@@ -195,7 +195,14 @@
 ) -> TaskResult {
     match &task.kind {
         claim::TaskKind::Record { .. } => apply_record(entry, known, head, task, wall_ms),
-        claim::TaskKind::Settle { settlement } => apply_settle(entry, head, task, settlement),
+        claim::TaskKind::Settle { settlement, .. } => {
+            let result = apply_settle(entry, head, task, settlement);
+            let open = entry.find(&known.head, &task.key).is_some_and(|record| {
+                record.request == task.request && record.state == claim::ClaimState::Held
+            });
+            // What another task of this batch has settled is confirmed only once it is written.
+            if open { TaskResult::Change } else { result }
+        }
     }
 }
 
--- a/crates/node/src/tables/claim.rs
+++ b/crates/node/src/tables/claim.rs
@@ -72,8 +72,11 @@
 pub(crate) enum TaskKind {
     /// Record a claim and tell the host that asked.
     Record { asker: ids::HostId },
-    /// Write down how the call ended.
-    Settle { settlement: peer::ClaimSettlement },
+    /// Write down how the call ended and tell the host that said so.
+    Settle {
+        teller: ids::HostId,
+        settlement: peer::ClaimSettlement,
+    },
 }
 
 /// One shard at its owner.
@@ -168,9 +171,22 @@
     WriteSegment(store::ObjectVersion, ClaimMap),
 }
 
+/// How a claimed call of this daemon ended, until its shard's owner has recorded it.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenSettlement {
+    pub key: ids::ClaimKey,
+    pub settlement: peer::ClaimSettlement,
+    pub since: time::MonoTime,
+    pub next_at: time::MonoTime,
+}
+
 /// All shards worked on here.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClaimTable {
+    /// Settlements of own requests that no owner has confirmed.
+    pub open: collections::BTreeMap<ids::RequestId, OpenSettlement>,
+    /// Own requests that ended unsent, and when.
+    pub unsent: collections::BTreeMap<ids::RequestId, time::MonoTime>,
     pub shards: collections::BTreeMap<ids::ClaimShard, ShardEntry>,
     pub next_call: u64,
     /// When the object API last failed to answer, if it has not answered since.
--- a/crates/node/tests/claims_once.rs
+++ b/crates/node/tests/claims_once.rs
@@ -29,3 +29,50 @@
     );
     assert!(driver.streams().is_empty());
 }
+
+/// A second owner's word comes after the call has run; a repeat must still meet the claim.
+#[test]
+fn late_verdict_releases_no_claim_that_was_sent() {
+    let mut driver = support::FleetDriver::new(3, 2);
+    let call = driver.call(0, 1, Duration::from_secs(5)).unwrap();
+    let verdict = driver.hold_verdict(call, 30);
+    while driver.may_run.is_empty() {
+        driver.advance(1);
+    }
+    driver.rates.lost_peers = true;
+    while driver.outcome(call).is_none() {
+        driver.advance(1);
+    }
+    assert_eq!(
+        driver.outcome(call),
+        Some(&outcome::RequestOutcome::Answered)
+    );
+    driver.advance(5);
+    driver.rates.lost_peers = false;
+    driver.deliver(0, verdict);
+    driver.advance(100);
+    let again = driver.call(1, 1, Duration::from_secs(5)).unwrap();
+    driver.advance(200);
+    assert!(driver.outcome(again).is_some());
+}
+
+/// The word on how a call ended is lost on its way; the repeat is answered all the same.
+#[test]
+fn lost_settlement_does_not_block_the_repeat() {
+    let mut driver = support::FleetDriver::new(3, 3);
+    let call = driver.call(0, 1, Duration::from_secs(5)).unwrap();
+    while driver.outcome(call).is_none() {
+        driver.advance(1);
+    }
+    driver.rates.lost = 100;
+    driver.advance(10);
+    driver.rates.lost = 0;
+    driver.advance(200);
+    for unit in 0..3 {
+        let again = driver.call(unit, 1, Duration::from_secs(2)).unwrap();
+        driver.advance(120);
+        let again = driver.outcome(again);
+        let replayed = matches!(again, Some(outcome::RequestOutcome::Replayed { .. }));
+        assert!(replayed, "{again:?}");
+    }
+}
--- a/crates/node/tests/invariants.rs
+++ b/crates/node/tests/invariants.rs
@@ -54,6 +54,7 @@
                 store_lost,
                 broken,
                 not_sent,
+                ..support::FaultRates::default()
             },
         )
 }
@@ -98,7 +99,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 256, max_shrink_iters: 64, ..ProptestConfig::default() })]
 
     /// The driver checks after each tick: no key is sent twice, each request ends once and in
     /// time, "not run" is true, and pieces go whole and in order to their own callers. At the
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -49,6 +49,10 @@
     pub broken: u32,
     /// Attempts that cannot be sent.
     pub not_sent: u32,
+    /// Whether all messages between machines are lost.
+    pub lost_peers: bool,
+    /// Whether endpoints only say that work goes on.
+    pub stalled: bool,
 }
 
 /// One machine.
@@ -341,11 +345,45 @@
         held.map(|(attempt, _)| *attempt).collect()
     }
 
-    /// Keeps the engine from noticing that the connection of an attempt has closed.
-    pub fn hide_detachment(&mut self, attempt: ids::AttemptId) {
-        if let Some(run) = self.runs.get_mut(&attempt) {
-            run.attached = true;
+    /// Puts a stream on the engine that no connection reads, of a request long over.
+    pub fn leave_behind(&mut self, unit: usize, count: u64) {
+        let machine = self.units[unit].machine.as_ref().unwrap();
+        let node = machine.incarnation();
+        let request = ids::RequestId { node, count };
+        let attempt = ids::AttemptId { request, number: 1 };
+        let run = EndpointRun {
+            unit,
+            life: node.0 >> 8,
+            next: 0,
+            engine: true,
+            attached: false,
+        };
+        self.runs.insert(attempt, run);
+    }
+
+    /// Ticks until a claim's verdict for `request` is under way, and returns a copy of it.
+    pub fn hold_verdict(&mut self, request: ids::RequestId, ticks: u32) -> peer::PeerEnvelope {
+        for _ in 0..ticks {
+            self.advance(1);
+            let found = self.transit.iter().find_map(|transit| match transit {
+                Transit::Peer { envelope, .. } => match &envelope.message {
+                    peer::PeerMessage::ClaimReply { request: id, .. } if *id == request => {
+                        Some(envelope.clone())
+                    }
+                    _ => None,
+                },
+                _ => None,
+            });
+            if let Some(envelope) = found {
+                return envelope;
+            }
         }
+        panic!("no verdict for {request}")
+    }
+
+    /// Delivers a message once more.
+    pub fn deliver(&mut self, unit: usize, envelope: peer::PeerEnvelope) {
+        self.step(unit, event::NodeEvent::PeerReceived { envelope });
     }
 
     /// Lets time pass, tick by tick.
@@ -358,7 +396,7 @@
                 if !self.runs_now(unit) {
                     continue;
                 }
-                if !self.store_down && self.now.as_millis() % 500 == 0 {
+                if !self.store_down && self.now.as_millis().is_multiple_of(500) {
                     self.step(unit, event::NodeEvent::WatchHeard);
                 }
                 self.step(unit, event::NodeEvent::Tick);
@@ -417,7 +455,7 @@
     }
 
     fn carry_peer(&mut self, to: net::SocketAddr, envelope: peer::PeerEnvelope) {
-        if self.chance(self.rates.lost) {
+        if self.rates.lost_peers || self.chance(self.rates.lost) {
             return;
         }
         let unit = self
@@ -541,7 +579,9 @@
             if !run.attached || !self.runs_now(unit) {
                 continue;
             }
-            if self.chance(self.rates.broken) {
+            if self.rates.stalled {
+                self.reply(unit, life, event::NodeEvent::AttemptProgressed { attempt });
+            } else if self.chance(self.rates.broken) {
                 self.runs.get_mut(&attempt).unwrap().attached = false;
                 let end = outcome::AttemptEnd::Broken;
                 self.reply(unit, life, event::NodeEvent::AttemptEnded { attempt, end });
@@ -550,7 +590,7 @@
                 self.send_chunk(unit, life, attempt, next);
             } else if engine || self.chance(20) {
                 self.runs.remove(&attempt);
-                let answer = (!engine).then(|| outcome::RecordedAnswer {
+                let answer = (!engine).then_some(outcome::RecordedAnswer {
                     status: 200,
                     body: None,
                 });
