Prove invariants 1 to 3 by scenarios

Cause: kills at each step, frozen connections, lost answers and cancels, and outages were not shown with real processes.

--- a/crates/fakes/tests/scenarios.rs
+++ b/crates/fakes/tests/scenarios.rs
@@ -46,7 +46,19 @@
     };
 }
 
-scenarios!(same_key_through_three_daemons,);
+scenarios!(
+    callers_gone_free_memory,
+    cancels_lost_free_memory,
+    claim_write_answer_lost,
+    daemon_killed_frees_memory,
+    daemon_killed_while_call_runs,
+    engine_killed_mid_stream,
+    frozen_connections,
+    paused_daemon_resumes,
+    plain_service_killed_while_call_runs,
+    same_key_through_three_daemons,
+    store_outage_refuses_at_once,
+);
 
 #[test]
 fn unknown_keys_are_refused() {
