--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -138,10 +138,25 @@
     short_call(address, request, body).await.is_some()
 }
 
+/// What came of reading an engine's load.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadReading {
+    /// The load; `None` if it could not be read.
+    pub load: Option<load::EngineLoad>,
+    /// Bytes of the reply's body.
+    pub body_bytes: usize,
+}
+
 /// Reads an engine's load.
-pub async fn load(address: net::SocketAddr) -> Option<load::EngineLoad> {
-    let body = short_call(address, http::Request::get(wire::LOAD_PATH), Vec::new()).await?;
-    serde_json::from_slice(&body).ok()
+pub async fn load(address: net::SocketAddr) -> LoadReading {
+    let request = http::Request::get(wire::LOAD_PATH);
+    let Some(body) = short_call(address, request, Vec::new()).await else {
+        return LoadReading::default();
+    };
+    LoadReading {
+        load: serde_json::from_slice(&body).ok(),
+        body_bytes: body.len(),
+    }
 }
 
 async fn short_call(
--- a/crates/fakes/src/args.rs
+++ b/crates/fakes/src/args.rs
@@ -6,6 +6,7 @@
 use std::path;
 use std::time::Duration;
 
+use crate::control;
 use crate::engine;
 use crate::hosts;
 use crate::plain;
@@ -14,6 +15,9 @@
 use crate::scenario::spec;
 use crate::store;
 
+/// Threads of a stand-in.
+const WORKER_THREADS: usize = 2;
+
 /// Stand-ins for what sardinepaddle works with.
 #[derive(Clone, Debug, clap::Parser)]
 #[command(name = "sardinepaddle-fakes")]
@@ -60,6 +64,8 @@
         #[arg(long, default_value_t = 0)]
         lag_ms: u64,
     },
+    /// Measures the cost of control of fleets of real daemons, and fits slopes.
+    Control(control::ControlArgs),
     /// A link that can be made faulty by `POST /fault` on its control address.
     Proxy {
         /// Address to listen on.
@@ -83,7 +89,7 @@
     /// Runs the stand-in until the process is ended.
     pub fn run(self) -> io::Result<()> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKER_THREADS)
             .enable_all()
             .build()?;
         runtime.block_on(serve(self.command))
@@ -99,6 +105,7 @@
             };
             engine::FakeEngine::start(listen, model).await?.wait().await;
         }
+        FakeCommand::Control(args) => control::run(&args).await?,
         FakeCommand::Plain { listen, journal } => {
             let plain = plain::FakePlain::start(listen, journal.as_deref()).await?;
             plain.wait().await;
