--- a/crates/cli/src/load/cost.rs
+++ b/crates/cli/src/load/cost.rs
@@ -4,7 +4,6 @@
 
 use fakes::caller;
 use fakes::plain;
-use http_body_util::BodyExt;
 use serde::Serialize;
 
 /// Messages, bytes and calls of all daemons together.
@@ -41,27 +40,12 @@
         cost.store_calls += count("store_calls");
         cost.grants_given += count("grants_given");
         cost.grants_denied += count("grants_denied");
-        cost.peer_bytes += sent_bytes(*admin).await.unwrap_or(0);
+        let control = &status["control"];
+        cost.peer_bytes += control["peer_sent_bytes"].as_u64().unwrap_or(0);
     }
     cost
 }
 
-/// Bytes sent to peers, from the metrics.
-async fn sent_bytes(admin: net::SocketAddr) -> Option<u64> {
-    let request = http::Request::get("/metrics")
-        .header(http::header::HOST, admin.to_string())
-        .body(http_body_util::Full::new(bytes::Bytes::new()))
-        .ok()?;
-    let response = caller::exchange(admin, request).await?;
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    let text = String::from_utf8_lossy(&body);
-    let line = text
-        .lines()
-        .find(|line| line.starts_with("peer_bytes") && line.contains("direction=\"sent\""))?;
-    let value = line.rsplit(' ').next()?.parse::<f64>().ok()?;
-    Some(value as u64)
-}
-
 /// Operations that ran more than once, by the plain service's own count.
 pub(crate) async fn doubled(plain: net::SocketAddr) -> u64 {
     let witness = caller::get_json::<plain::PlainWitness>(plain, "/fake/witness").await;
