Never tell a repeat that met a running call that it was not run

Ruled out: a wrong verdict of the owner; the phase alone decided the words. Change: a request remembers that it met a claim until a claim of its own is recorded. Before: repeat_of_a_running_call_never_says_not_run failed (NotRun, deadline_too_close). After: unknown at all 15 moments; claims_once, claim_shards and invariants pass.

--- a/crates/node/src/systems/admission.rs
+++ b/crates/node/src/systems/admission.rs
@@ -32,6 +32,7 @@
         sent: false,
         sent_before: false,
         claimed: false,
+        met_claim: false,
         set: Vec::new(),
         tried: Vec::new(),
     };
--- a/crates/node/src/systems/claims.rs
+++ b/crates/node/src/systems/claims.rs
@@ -141,6 +141,7 @@
         peer::ClaimVerdict::Recorded => {
             if let Some(entry) = state.requests.get_mut(&id) {
                 entry.claimed = true;
+                entry.met_claim = false;
             }
             systems::queues::enter(state, id);
         }
@@ -150,6 +151,7 @@
         peer::ClaimVerdict::Taken => {
             let until = state.now + TAKEN_PAUSE;
             if let Some(entry) = state.requests.get_mut(&id) {
+                entry.met_claim = true;
                 entry.phase = request::RequestPhase::ClaimTaken { until };
             }
         }
--- a/crates/node/src/systems/retry.rs
+++ b/crates/node/src/systems/retry.rs
@@ -324,7 +324,8 @@
         fail(state, id, reason);
         return;
     }
-    if matches!(entry.phase, request::RequestPhase::ClaimTaken { .. }) {
+    if entry.met_claim {
+        settle_unsent(state, id);
         let reason = outcome::FailureReason::EarlierCallRunning;
         finish(
             state,
--- a/crates/node/src/tables/request.rs
+++ b/crates/node/src/tables/request.rs
@@ -24,6 +24,9 @@
     pub sent_before: bool,
     /// Whether a claim is recorded for it.
     pub claimed: bool,
+    /// Whether its key was found taken by an earlier call that had not settled: whether that
+    /// call runs is then not known.
+    pub met_claim: bool,
     /// Engines that share the prompt, by name; empty if one engine takes it whole.
     pub set: Vec<SetMember>,
     /// Endpoints that had no room since the last rest.
--- a/crates/node/tests/claims_once.rs
+++ b/crates/node/tests/claims_once.rs
@@ -76,3 +76,24 @@
         assert!(replayed, "{again:?}");
     }
 }
+
+/// A repeat that waits for the first call never says that the call was not run, whatever the
+/// moment at which it gives up.
+#[test]
+fn repeat_of_a_running_call_never_says_not_run() {
+    for millis in (300..600).step_by(20) {
+        let mut driver = support::FleetDriver::new(3, 4);
+        driver.rates.stalled = true;
+        driver.call(0, 1, Duration::from_secs(20)).unwrap();
+        while driver.may_run.is_empty() {
+            driver.advance(1);
+        }
+        let again = driver.call(1, 1, Duration::from_millis(millis)).unwrap();
+        driver.advance(60);
+        let outcome = driver.outcome(again);
+        assert!(
+            matches!(outcome, Some(outcome::RequestOutcome::Unknown { .. })),
+            "{millis}: {outcome:?}"
+        );
+    }
+}
