Refuse an idempotency key that comes with another call

Cause: a key was matched by service and customer alone; a second call with another path or body under the same key got the first call's answer (seen: the caller of /orders/2 was answered with /orders/1). Ruled out: a digest within the key itself, which would let both calls run under one key. Change: a claim records a digest of method, path and body; another digest is refused, 422 key_reused, not run. Before: a_key_used_for_another_call_is_refused_and_not_run failed (Wrong answer, status 200). After: passes; node tests pass.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -422,6 +422,7 @@
     let idempotent = claim.is_none() && is_idempotent(entry, head);
     let timeout = read_timeout(state, head, entry.timeout_ms)?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let digest = call_digest(head, &body.bytes);
     let call = plain::PlainCall {
         method: head.method.clone(),
         path: path.to_owned(),
@@ -432,7 +433,11 @@
     let arrived = caller::ArrivedRequest {
         service,
         customer,
-        kind: request::RequestKind::Plain { idempotent, claim },
+        kind: request::RequestKind::Plain {
+            idempotent,
+            claim,
+            digest,
+        },
         timeout,
         body: caller::RequestBody::Plain(call),
         lease: body.lease,
@@ -445,6 +450,17 @@
     })
 }
 
+/// Digest of what a call asks, by which a repeat is told from another call under its key.
+fn call_digest(head: &http::request::Parts, body: &[u8]) -> u64 {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in [head.method.as_str().as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
 fn is_idempotent(entry: &config::ServiceEntry, head: &http::request::Parts) -> bool {
     let path = head.uri.path();
     let method = head.method.as_str();
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -170,6 +170,7 @@
         outcome::RefusalReason::UnknownCustomer => http::StatusCode::FORBIDDEN,
         outcome::RefusalReason::PromptTooLong => http::StatusCode::PAYLOAD_TOO_LARGE,
         outcome::RefusalReason::DeadlineTooClose => http::StatusCode::REQUEST_TIMEOUT,
+        outcome::RefusalReason::KeyReused => http::StatusCode::UNPROCESSABLE_ENTITY,
         outcome::RefusalReason::CustomerLimit => http::StatusCode::TOO_MANY_REQUESTS,
         _ => http::StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -71,6 +71,8 @@
     NotReady,
     /// The object API cannot record the claim.
     StoreUnavailable,
+    /// The idempotency key was used for another call.
+    KeyReused,
     /// The claim's record does not fit any more.
     ClaimsFull,
     /// Every endpoint tried could not be reached.
@@ -92,6 +94,7 @@
             Self::ShuttingDown => "shutting_down",
             Self::NotReady => "not_ready",
             Self::StoreUnavailable => "store_unavailable",
+            Self::KeyReused => "key_reused",
             Self::ClaimsFull => "claims_full",
             Self::Unreachable => "unreachable",
             Self::CallerGone => "caller_gone",
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -199,8 +199,10 @@
     ClaimAsk {
         /// The key claimed.
         key: ids::ClaimKey,
-        /// The attempt on whose behalf.
+        /// The request on whose behalf.
         request: ids::RequestId,
+        /// Digest of what the call asks.
+        digest: u64,
     },
     /// Answers a [`PeerMessage::ClaimAsk`].
     ClaimReply {
@@ -267,6 +269,8 @@
     Answered(outcome::RecordedAnswer),
     /// The call may have run.
     Unknown,
+    /// The key was used for a call that asked something else.
+    Mismatch,
     /// The claim cannot be recorded now.
     Unavailable,
     /// The shard has no room for another claim.
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -71,6 +71,8 @@
         idempotent: bool,
         /// Claim that a caller's repeat must meet.
         claim: Option<ids::ClaimKey>,
+        /// Digest of method, path and body, the same for a repeat.
+        digest: u64,
     },
 }
 
@@ -140,6 +142,14 @@
         }
     }
 
+    /// Digest of what a plain call asks; zero for a prompt.
+    pub fn digest(&self) -> u64 {
+        match &self.kind {
+            RequestKind::Prompt { .. } => 0,
+            RequestKind::Plain { digest, .. } => *digest,
+        }
+    }
+
     /// The claim that guards the request, if any.
     pub fn claim(&self) -> Option<&ids::ClaimKey> {
         match &self.kind {
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -277,9 +277,11 @@
         } => {
             systems::grants::on_return(state, &endpoint, attempt, usage);
         }
-        peer::PeerMessage::ClaimAsk { key, request } => {
-            systems::claims::on_ask(state, from, key, request)
-        }
+        peer::PeerMessage::ClaimAsk {
+            key,
+            request,
+            digest,
+        } => systems::claims::on_ask(state, from, key, request, digest),
         peer::PeerMessage::ClaimReply {
             key,
             request,
--- a/crates/node/src/systems/claims.rs
+++ b/crates/node/src/systems/claims.rs
@@ -51,6 +51,7 @@
         return;
     };
     let asked_at = state.now;
+    let digest = entry.head.digest();
     if let Some(entry) = state.requests.get_mut(&id) {
         entry.phase = request::RequestPhase::Claiming {
             owner: owner.clone(),
@@ -58,7 +59,13 @@
             tries,
         };
     }
-    state.send(&owner, peer::PeerMessage::ClaimAsk { key, request: id });
+    let request = id;
+    let ask = peer::PeerMessage::ClaimAsk {
+        key,
+        request,
+        digest,
+    };
+    state.send(&owner, ask);
 }
 
 fn owners(state: &state::NodeState, key: &ids::ClaimKey) -> Vec<ids::HostId> {
@@ -166,6 +173,10 @@
                 },
             );
         }
+        peer::ClaimVerdict::Mismatch => {
+            let reason = outcome::RefusalReason::KeyReused;
+            systems::retry::give_up(state, id, reason, None);
+        }
         peer::ClaimVerdict::Unavailable => {
             let reason = outcome::RefusalReason::StoreUnavailable;
             systems::retry::give_up(state, id, reason, Some(admission::RETRY_LATER));
@@ -197,6 +208,7 @@
     from: &ids::HostId,
     key: ids::ClaimKey,
     id: ids::RequestId,
+    digest: u64,
 ) {
     if state.claims.down_since.is_some() {
         let verdict = peer::ClaimVerdict::Unavailable;
@@ -212,6 +224,7 @@
     }
     let kind = claim::TaskKind::Record {
         asker: from.clone(),
+        digest,
     };
     push(
         state,
@@ -322,7 +335,7 @@
     entry.tasks.retain(|task| {
         let age = now.since(task.since);
         match &task.kind {
-            claim::TaskKind::Record { asker } => {
+            claim::TaskKind::Record { asker, .. } => {
                 let keep = !down && age <= RECORD_SPAN;
                 if !keep {
                     refused.push((asker.clone(), task.key.clone(), task.request));
@@ -378,7 +391,7 @@
     task: &claim::ClaimTask,
     verdict: peer::ClaimVerdict,
 ) {
-    let claim::TaskKind::Record { asker } = &task.kind else {
+    let claim::TaskKind::Record { asker, .. } = &task.kind else {
         return;
     };
     if verdict == peer::ClaimVerdict::Recorded {
--- a/crates/node/src/systems/shards.rs
+++ b/crates/node/src/systems/shards.rs
@@ -194,7 +194,15 @@
     wall_ms: u64,
 ) -> TaskResult {
     match &task.kind {
-        claim::TaskKind::Record { .. } => apply_record(entry, known, head, task, wall_ms),
+        claim::TaskKind::Record { digest, .. } => {
+            let record = claim::ClaimRecord {
+                request: task.request,
+                digest: *digest,
+                at_ms: wall_ms,
+                state: claim::ClaimState::Held,
+            };
+            apply_record(entry, known, head, &task.key, record)
+        }
         claim::TaskKind::Settle { settlement, .. } => {
             let result = apply_settle(entry, head, task, settlement);
             let open = entry.find(&known.head, &task.key).is_some_and(|record| {
@@ -210,42 +218,41 @@
     entry: &claim::ShardEntry,
     known: &claim::KnownShard,
     head: &mut claim::ShardHead,
-    task: &claim::ClaimTask,
-    wall_ms: u64,
+    key: &ids::ClaimKey,
+    wanted: claim::ClaimRecord,
 ) -> TaskResult {
-    let found = entry.find(head, &task.key);
+    let found = entry.find(head, key);
     if let Some(record) = found.filter(|record| record.state != claim::ClaimState::Released) {
-        let own = record.request == task.request;
-        return match &record.state {
-            claim::ClaimState::Held if own => {
-                let committed = entry.find(&known.head, &task.key) == Some(record);
-                if committed {
-                    TaskResult::Verdict(peer::ClaimVerdict::Recorded)
-                } else {
-                    TaskResult::Change
-                }
-            }
-            claim::ClaimState::Answered(answer) => {
-                TaskResult::Verdict(peer::ClaimVerdict::Answered(answer.clone()))
-            }
-            claim::ClaimState::Unknown => TaskResult::Verdict(peer::ClaimVerdict::Unknown),
-            claim::ClaimState::Held | claim::ClaimState::Released => {
-                TaskResult::Taken(record.clone())
-            }
-        };
+        if record.request == wanted.request && record.state == claim::ClaimState::Held {
+            let committed = entry.find(&known.head, key) == Some(record);
+            return match committed {
+                true => TaskResult::Verdict(peer::ClaimVerdict::Recorded),
+                false => TaskResult::Change,
+            };
+        }
+        return judge_repeat(record, wanted.digest);
     }
     if head.segments.len() >= MOST_SEGMENTS {
         return TaskResult::Verdict(peer::ClaimVerdict::Full);
     }
-    let record = claim::ClaimRecord {
-        request: task.request,
-        at_ms: wall_ms,
-        state: claim::ClaimState::Held,
-    };
-    head.claims.insert(task.key.clone(), record);
+    head.claims.insert(key.clone(), wanted);
     TaskResult::Change
 }
 
+/// What a call meets under a key that an earlier one has claimed.
+fn judge_repeat(record: &claim::ClaimRecord, digest: u64) -> TaskResult {
+    if record.digest != digest {
+        return TaskResult::Verdict(peer::ClaimVerdict::Mismatch);
+    }
+    match &record.state {
+        claim::ClaimState::Answered(answer) => {
+            TaskResult::Verdict(peer::ClaimVerdict::Answered(answer.clone()))
+        }
+        claim::ClaimState::Unknown => TaskResult::Verdict(peer::ClaimVerdict::Unknown),
+        claim::ClaimState::Held | claim::ClaimState::Released => TaskResult::Taken(record.clone()),
+    }
+}
+
 fn apply_settle(
     entry: &claim::ShardEntry,
     head: &mut claim::ShardHead,
--- a/crates/node/src/tables/claim.rs
+++ b/crates/node/src/tables/claim.rs
@@ -19,6 +19,9 @@
 pub(crate) struct ClaimRecord {
     /// Request that holds the claim.
     pub request: ids::RequestId,
+    /// Digest of what the call asks.
+    #[serde(default)]
+    pub digest: u64,
     /// When it was recorded, in milliseconds since 1970.
     pub at_ms: u64,
     pub state: ClaimState,
@@ -71,7 +74,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum TaskKind {
     /// Record a claim and tell the host that asked.
-    Record { asker: ids::HostId },
+    Record { asker: ids::HostId, digest: u64 },
     /// Write down how the call ended and tell the host that said so.
     Settle {
         teller: ids::HostId,
--- a/crates/node/tests/claim_shards.rs
+++ b/crates/node/tests/claim_shards.rs
@@ -175,6 +175,7 @@
             peer::PeerMessage::ClaimAsk {
                 key: key(number),
                 request: request(count),
+                digest: 0,
             },
         );
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -312,6 +312,7 @@
         let kind = request::RequestKind::Plain {
             idempotent: false,
             claim: Some(claim),
+            digest: u64::from(key),
         };
         self.arrive(unit, kind, Some(key), timeout)
     }
