Refuse at once what no open endpoint can serve

Cause: with all endpoints of a service taken out, or too few engines left for a set, a request waited until its deadline could no longer be met; nothing that it waited for could come. Ruled out: the queue's prediction, which knows only the pace of starts. Before: without_an_open_endpoint_all_that_wait_and_all_that_come_are_refused_at_once failed (none refused). After: passes, with node, engine_sets, bad_input and taken_out.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -264,6 +264,18 @@
             .max_by_key(|host| member::role_weight(host, id.as_str()))
     }
 
+    /// Whether any endpoint of a service takes new work.
+    pub fn has_open_endpoint(&self, service: &ids::ServiceId) -> bool {
+        let Some(config) = &self.config.config else {
+            return false;
+        };
+        let mut own = config
+            .endpoints
+            .iter()
+            .filter(|(_, entry)| entry.service == *service);
+        own.any(|(id, entry)| self.takes_work(id, entry))
+    }
+
     /// Whether operators and the platform let an endpoint take new work.
     pub fn takes_work(&self, id: &ids::EndpointId, entry: &config::EndpointEntry) -> bool {
         let Some(config) = &self.config.config else {
--- a/crates/node/src/systems/admission.rs
+++ b/crates/node/src/systems/admission.rs
@@ -68,9 +68,13 @@
     if head.deadline <= state.now {
         return Some(not_run(outcome::RefusalReason::DeadlineTooClose, None));
     }
-    if !systems::sets::can_hold(config, head) {
+    if !systems::sets::can_ever_hold(config, head) {
         return Some(not_run(outcome::RefusalReason::PromptTooLong, None));
     }
+    if !state.has_open_endpoint(&head.service) || !systems::sets::can_hold_now(state, head) {
+        let later = Some(RETRY_LATER);
+        return Some(not_run(outcome::RefusalReason::NoEndpoint, later));
+    }
     if state.requests.of_customer(&head.customer) >= customer.max_in_flight {
         return Some(not_run(outcome::RefusalReason::CustomerLimit, soon));
     }
--- a/crates/node/src/systems/placement.rs
+++ b/crates/node/src/systems/placement.rs
@@ -226,13 +226,20 @@
         return;
     };
     entry.tried.push(pending.endpoint.clone());
-    if entry.tried.len() >= ASKED_BEFORE_REST {
+    let tried = entry.tried.len();
+    if is_size_aware(state) && tried >= ASKED_BEFORE_REST {
         wait(state, id);
         return;
     }
     place(state, id);
 }
 
+/// Whether requests are placed by size class.
+fn is_size_aware(state: &state::NodeState) -> bool {
+    let config = state.config.config.as_ref();
+    config.is_some_and(|config| config.policy.placement == config::PlacementPolicy::SizeAware)
+}
+
 fn start(state: &mut state::NodeState, pending: request::PendingGrant) {
     let now = state.now;
     let not_after = pending.asked_at + grants::GRANT_SPAN;
--- a/crates/node/src/systems/queues.rs
+++ b/crates/node/src/systems/queues.rs
@@ -36,12 +36,41 @@
         keys.insert(key);
     }
     state.queues.forget_starts(&keys);
+    refuse_homeless(state);
     for id in late {
         let reason = outcome::RefusalReason::Overloaded;
         systems::retry::give_up(state, id, reason, Some(admission::RETRY_SOON));
     }
     for key in keys {
-        serve(state, &key);
+        if state.has_open_endpoint(&key.service) {
+            serve(state, &key);
+        } else {
+            refuse_all(state, &key);
+        }
+    }
+}
+
+/// Refuses long prompts that no open engine or set of engines can hold any more.
+fn refuse_homeless(state: &mut state::NodeState) {
+    let waiting = state.requests.requests.iter().filter(|(_, entry)| {
+        matches!(entry.phase, request::RequestPhase::Waiting { .. })
+            && entry.head.class() == head::SizeClass::Long
+            && !systems::sets::can_hold_now(state, &entry.head)
+    });
+    for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let reason = outcome::RefusalReason::NoEndpoint;
+        systems::retry::give_up(state, id, reason, Some(admission::RETRY_LATER));
+    }
+}
+
+/// Refuses all that wait for a service without an endpoint that takes new work.
+fn refuse_all(state: &mut state::NodeState, key: &queue::QueueKey) {
+    let waiting = state.requests.requests.iter().filter(|(_, entry)| {
+        matches!(entry.phase, request::RequestPhase::Waiting { .. }) && shares::is_in(entry, key)
+    });
+    for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let reason = outcome::RefusalReason::NoEndpoint;
+        systems::retry::give_up(state, id, reason, Some(admission::RETRY_LATER));
     }
 }
 
--- a/crates/node/src/systems/sets.rs
+++ b/crates/node/src/systems/sets.rs
@@ -39,23 +39,47 @@
 }
 
 /// Whether the service, with all its engines, could ever hold a request.
-pub(crate) fn can_hold(config: &config::FleetConfig, request: &head::RequestHead) -> bool {
-    let endpoints = config
+pub(crate) fn can_ever_hold(config: &config::FleetConfig, request: &head::RequestHead) -> bool {
+    let entries = config.endpoints.values();
+    let own = entries.filter(|entry| entry.service == request.service);
+    fits(config, &own.collect::<Vec<_>>(), request)
+}
+
+/// Whether the engines of the service that take new work now could hold a request.
+pub(crate) fn can_hold_now(state: &state::NodeState, request: &head::RequestHead) -> bool {
+    let Some(config) = &state.config.config else {
+        return false;
+    };
+    let own = config
         .endpoints
-        .values()
-        .filter(|entry| entry.service == request.service);
-    let largest = endpoints.map(|entry| entry.memory_tokens).max();
+        .iter()
+        .filter(|(_, entry)| entry.service == request.service);
+    let open = own.filter(|(id, entry)| state.takes_work(id, entry));
+    fits(
+        config,
+        &open.map(|(_, entry)| entry).collect::<Vec<_>>(),
+        request,
+    )
+}
+
+/// Whether one of some engines, or a set of them, has the memory for a request.
+fn fits(
+    config: &config::FleetConfig,
+    entries: &[&config::EndpointEntry],
+    request: &head::RequestHead,
+) -> bool {
+    let largest = entries.iter().map(|entry| entry.memory_tokens).max();
     let alone = largest.is_none_or(|largest| request.memory_tokens() <= largest);
-    alone || (request.class() == head::SizeClass::Long && set_can_hold(config, request))
+    alone || (request.class() == head::SizeClass::Long && set_fits(config, entries, request))
 }
 
-/// Whether a set of the service's engines could ever hold a request.
-fn set_can_hold(config: &config::FleetConfig, request: &head::RequestHead) -> bool {
-    let endpoints = config
-        .endpoints
-        .values()
-        .filter(|entry| entry.service == request.service);
-    let mut capacities = endpoints
+fn set_fits(
+    config: &config::FleetConfig,
+    entries: &[&config::EndpointEntry],
+    request: &head::RequestHead,
+) -> bool {
+    let mut capacities = entries
+        .iter()
         .map(|entry| capacity(config, entry))
         .collect::<Vec<_>>();
     capacities.sort_unstable_by(|one, two| two.cmp(one));
@@ -72,13 +96,13 @@
     if request.class() != head::SizeClass::Long {
         return false;
     }
-    let endpoints = config
-        .endpoints
-        .values()
-        .filter(|entry| entry.service == request.service);
-    let largest = endpoints.map(|entry| capacity(config, entry)).max();
+    let entries = config.endpoints.values();
+    let own = entries
+        .filter(|entry| entry.service == request.service)
+        .collect::<Vec<_>>();
+    let largest = own.iter().map(|entry| capacity(config, entry)).max();
     let over = largest.is_some_and(|largest| request.memory_tokens() > largest);
-    over && set_can_hold(config, request)
+    over && set_fits(config, &own, request)
 }
 
 /// Chooses a set and asks for its first engine; without one, lets the request wait.
--- a/crates/node/tests/queues.rs
+++ b/crates/node/tests/queues.rs
@@ -149,6 +149,18 @@
         self.step(event::NodeEvent::RequestArrived { request });
     }
 
+    /// Operators take the data centre out.
+    fn take_out(&mut self, slots: u32) {
+        let mut fleet = fleet(slots);
+        for entry in fleet.data_centres.values_mut() {
+            entry.state = config::ServiceState::TakenOut;
+        }
+        self.step(event::NodeEvent::ConfigSeen {
+            version: config::ConfigVersion(2),
+            config: std::sync::Arc::new(fleet),
+        });
+    }
+
     fn finish_first(&mut self) {
         let attempt = self.running.remove(0);
         let end = outcome::AttemptEnd::Complete { answer: None };
@@ -242,3 +254,21 @@
         driver.started
     );
 }
+
+#[test]
+fn without_an_open_endpoint_all_that_wait_and_all_that_come_are_refused_at_once() {
+    let mut driver = QueueDriver::new(1);
+    driver.ask(1, "large", 2_000, Duration::from_secs(30));
+    driver.ask(2, "large", 2_000, Duration::from_secs(30));
+    driver.pass(STEP);
+    assert_eq!(driver.started, [1]);
+    driver.take_out(1);
+    driver.pass(STEP);
+    driver.ask(3, "small", 2_000, Duration::from_secs(30));
+    let refused = |count: u64| {
+        let reason = outcome::RefusalReason::NoEndpoint;
+        let found = driver.ended.iter().find(|(ended, _)| *ended == count);
+        matches!(found, Some((_, outcome::RequestOutcome::NotRun { reason: given, retry_after: Some(_) })) if *given == reason)
+    };
+    assert!(refused(2) && refused(3), "{:?}", driver.ended);
+}
