--- a/crates/cli/src/stand_ins.rs
+++ b/crates/cli/src/stand_ins.rs
@@ -249,16 +249,8 @@
 }
 
 fn endpoint(service: &str, centre: &str, address: net::SocketAddr) -> config::EndpointEntry {
-    config::EndpointEntry {
-        service: ids::ServiceId::new(service),
-        data_centre: ids::CentreId::new(centre),
-        address,
-        state: config::ServiceState::InService,
-        slots: 16,
-        memory_tokens: 400_000,
-        cold_slots: 2,
-        checks_orders: false,
-    }
+    let service = ids::ServiceId::new(service);
+    config::EndpointEntry::new(service, ids::CentreId::new(centre), address)
 }
 
 /// Changes the configuration by a conditional update.
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -7,7 +7,7 @@
 use model::request;
 use tokio::sync::mpsc;
 
-use crate::front;
+use crate::intake;
 
 /// Pieces of an answer that wait for a slow caller; a caller that is slower is given up.
 pub(crate) const CALLER_QUEUE: usize = 4_096;
@@ -29,7 +29,7 @@
     pub timeout: std::time::Duration,
     pub body: RequestBody,
     /// Share of memory that the body takes.
-    pub lease: front::BodyLease,
+    pub lease: intake::BodyLease,
     pub parts: mpsc::Sender<CallerPart>,
 }
 
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -23,7 +23,7 @@
 use crate::attempts;
 use crate::caller;
 use crate::clock;
-use crate::front;
+use crate::intake;
 use crate::logs;
 use crate::shared;
 use crate::traffic;
@@ -65,7 +65,7 @@
 /// A caller that waits for its answer.
 struct CallerEntry {
     body: sync::Arc<caller::RequestBody>,
-    _lease: front::BodyLease,
+    _lease: intake::BodyLease,
     parts: mpsc::Sender<caller::CallerPart>,
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod driver;
 mod edge;
 mod front;
+mod intake;
 mod logs;
 mod metrics;
 mod reply;
