--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -7,8 +7,8 @@
 use model::config;
 use model::peer;
 use model::store;
-use platform::daemons;
-use platform::writer;
+use objects::daemons;
+use objects::writer;
 use rand::Rng;
 use settings::check;
 
--- a/crates/cli/src/cmd/audit.rs
+++ b/crates/cli/src/cmd/audit.rs
@@ -1,7 +1,7 @@
 //! `sardinepaddle audit`
 
 use model::audit;
-use platform::trail;
+use objects::trail;
 
 use crate::connect;
 use crate::error;
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -3,7 +3,7 @@
 use std::path;
 
 use model::audit;
-use platform::writer;
+use objects::writer;
 use serde::Serialize;
 use settings::check;
 use settings::load;
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -1,7 +1,7 @@
 //! `sardinepaddle status`
 
 use model::ids;
-use platform::daemons;
+use objects::daemons;
 use serde::Serialize;
 
 use crate::change;
--- a/crates/cli/src/connect.rs
+++ b/crates/cli/src/connect.rs
@@ -3,8 +3,8 @@
 use std::net;
 use std::path;
 
-use platform::client;
-use platform::writer;
+use objects::client;
+use objects::writer;
 use settings::check;
 use settings::load;
 use settings::operator;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::process;
 
-use platform::trail;
-use platform::writer;
+use objects::trail;
+use objects::writer;
 use settings::fault;
 use settings::load;
 
--- a/crates/cli/src/load/events.rs
+++ b/crates/cli/src/load/events.rs
@@ -5,7 +5,7 @@
 use fakes::caller;
 use model::config;
 use model::ids;
-use platform::client;
+use objects::client;
 use tokio::time;
 
 use crate::error;
--- a/crates/cli/tests/change.rs
+++ b/crates/cli/tests/change.rs
@@ -14,9 +14,9 @@
 use model::config;
 use model::ids;
 use model::store as store_model;
-use platform::client;
-use platform::trail;
-use platform::writer;
+use objects::client;
+use objects::trail;
+use objects::writer;
 
 fn note(who: &str, write_id: &str) -> writer::ChangeNote {
     writer::ChangeNote {
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -7,6 +7,9 @@
 #[command(name = "sardinepaddled", version)]
 pub struct DaemonArgs {
     /// Settings file (YAML).
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "SARDINEPADDLE_SETTINGS")]
     pub settings: path::PathBuf,
+    /// Serve behind the users' platform instead of the project's own interface.
+    #[arg(long)]
+    pub behind_platform: bool,
 }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -14,7 +14,7 @@
 use node::action;
 use node::event;
 use node::machine;
-use platform::client;
+use objects::client;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,10 +8,14 @@
 
 fn main() -> process::ExitCode {
     let args = args::DaemonArgs::parse();
-    match run::run(&args) {
+    let result = match args.behind_platform {
+        true => gateway::run::run(&args.settings).map_err(miette::Report::new),
+        false => run::run(&args).map_err(miette::Report::new),
+    };
+    match result {
         Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{:?}", miette::Report::new(error));
+        Err(report) => {
+            eprintln!("{report:?}");
             process::ExitCode::FAILURE
         }
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,7 +7,7 @@
 use node::event;
 use node::machine;
 use node::settings as node_settings;
-use platform::client;
+use objects::client;
 use settings::daemon;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -3,8 +3,8 @@
 use std::sync;
 use std::sync::atomic;
 
+use objects::traffic as platform_traffic;
 use peer::traffic;
-use platform::traffic as platform_traffic;
 use serde::Serialize;
 
 /// Bytes of a request for an engine's load and of the reply's headers.
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -6,7 +6,7 @@
 use model::config;
 use model::store;
 use node::event;
-use platform::client;
+use objects::client;
 use tokio::sync::mpsc;
 
 use crate::driver;
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -12,8 +12,8 @@
 use model::ids;
 use model::peer;
 use model::store as store_model;
-use platform::client;
-use platform::wire;
+use objects::client;
+use objects::wire;
 use settings::daemon;
 use tokio::time;
 
--- a/crates/fakes/src/hosts.rs
+++ b/crates/fakes/src/hosts.rs
@@ -8,7 +8,7 @@
 
 use axum::response::IntoResponse;
 use axum::routing;
-use platform::wire;
+use objects::wire;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -9,7 +9,7 @@
 use axum::response::IntoResponse;
 use axum::routing;
 use model::store;
-use platform::wire;
+use objects::wire;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time;
--- a/crates/fakes/tests/taken_out.rs
+++ b/crates/fakes/tests/taken_out.rs
@@ -4,7 +4,7 @@
 
 use model::config;
 use model::ids;
-use platform::wire;
+use objects::wire;
 use sardinepaddle_fakes::caller;
 use sardinepaddle_fakes::fleet;
 use sardinepaddle_fakes::proxy;
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,73 @@
+//! Splits a stream of server-sent events, keeping their bytes as they are.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// One whole event with its closing empty line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WholeEvent {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// Its id, if it has a numeric one.
+    pub id: Option<u64>,
+}
+
+/// Cuts bytes into whole events.
+///
+/// ```
+/// let mut splitter = sardinepaddle_gateway::events::EventSplitter::default();
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// assert_eq!(splitter.next_event().unwrap().id, Some(1));
+/// assert!(splitter.next_event().is_none());
+/// assert!(!splitter.is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    /// Bytes that are known to hold no end of an event.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole event out.
+    pub fn next_event(&mut self) -> Option<WholeEvent> {
+        let end = self.find_end()?;
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(WholeEvent { bytes, id })
+    }
+
+    /// Whether no part of an event waits for its rest.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let bytes = &self.buffer[..];
+        // An end may straddle what was searched: "\r\n\r\n" is the longest.
+        let start = self.searched.saturating_sub(3);
+        for at in start..bytes.len() {
+            let rest = &bytes[at..];
+            if rest.starts_with(b"\n\n") {
+                return Some(at + 2);
+            }
+            if rest.starts_with(b"\r\n\r\n") {
+                return Some(at + 4);
+            }
+        }
+        self.searched = bytes.len();
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/feeds.rs
@@ -0,0 +1,261 @@
+//! Follows the store: one task for each kind of objects.
+//!
+//! The first daemon of each data centre follows for all; the others do so at their start, and
+//! when what they are told gets old.
+
+use std::rc;
+use std::time::Duration;
+
+use model::map;
+use platform::catalog;
+use platform::store;
+use pool::replica;
+use tokio::time;
+
+use crate::world;
+
+/// Time that a watch waits at most: a store that went silent is noticed this much later.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Time between two looks at whether to follow.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// First and longest pause after a failed call.
+const RETRY_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(1_000));
+/// Lateness of a watch's answer from which the store counts as having been away, ms.
+const LATE_ANSWER_MS: f64 = 700.0;
+/// Time after the store's return for which removals of endpoints are held back, ms: entries that
+/// lapsed meanwhile are back within two seconds if the endpoint lives.
+const LAPSE_HOLD_MS: f64 = 2_200.0;
+
+/// One kind as it is followed.
+struct ObjectFeed {
+    world: rc::Rc<world::DaemonWorld>,
+    kind: catalog::ObjectKind,
+    client: store::StoreClient,
+    /// Revision to go on from; `None` if the kind has to be listed.
+    revision: Option<u64>,
+    away: bool,
+    /// When the store was back after it had been away.
+    back_at: f64,
+    /// Removals held back, with the time at which they count.
+    held: map::HashMap<String, f64>,
+}
+
+/// Follows all kinds until the process ends.
+pub(crate) fn start(world: &rc::Rc<world::DaemonWorld>) {
+    for kind in catalog::ObjectKind::ALL {
+        let feed = ObjectFeed {
+            world: world.clone(),
+            kind,
+            client: store::StoreClient::new(world.settings().store),
+            revision: None,
+            away: false,
+            back_at: f64::NEG_INFINITY,
+            held: map::HashMap::default(),
+        };
+        tokio::task::spawn_local(feed.run());
+    }
+}
+
+/// Lists this daemon in the store, and tries until it is.
+pub(crate) async fn enlist(world: rc::Rc<world::DaemonWorld>, spec: String) {
+    let mut client = store::StoreClient::new(world.settings().store);
+    let (mut pause, longest) = RETRY_PAUSES;
+    let kind = catalog::ObjectKind::Daemons;
+    let host = world.settings().host.clone();
+    loop {
+        match client.put(kind, host.as_str(), &spec).await {
+            Ok(()) => {
+                world.metrics.store_call("enlist", "done");
+                log::info!(target: "sardinepaddle", entry = spec; "listed in the store");
+                return;
+            }
+            Err(error) => {
+                world.metrics.store_call("enlist", "failed");
+                log::warn!(target: "sardinepaddle", error:% = error; "not listed in the store yet");
+            }
+        }
+        time::sleep(pause).await;
+        pause = (pause * 2).min(longest);
+    }
+}
+
+impl ObjectFeed {
+    async fn run(mut self) {
+        let (first, longest) = RETRY_PAUSES;
+        let mut pause = first;
+        loop {
+            if !self.follows() {
+                time::sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            match self.step().await {
+                Ok(()) => pause = first,
+                Err(error) => {
+                    self.note_failure(&error);
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(longest);
+                }
+            }
+        }
+    }
+
+    fn follows(&self) -> bool {
+        let world = &self.world;
+        if world.is_leaving() {
+            return false;
+        }
+        let leads = {
+            let rank = world.rank.borrow();
+            rank.leads_centre(&world.settings().host, world.now())
+        };
+        self.revision.is_none() || leads || world.data_age() > world::STALE_MS || self.away
+    }
+
+    async fn step(&mut self) -> store::Result<()> {
+        self.drop_held();
+        match self.revision {
+            None => self.list().await,
+            Some(revision) => self.watch(revision).await,
+        }
+    }
+
+    async fn list(&mut self) -> store::Result<()> {
+        let batch = self.client.list(self.kind).await?;
+        self.note_answer();
+        self.log_skipped(&batch.skipped);
+        let present: Vec<&str> = batch
+            .entries
+            .iter()
+            .map(|entry| entry.name.as_str())
+            .collect();
+        let names = self.world.names(self.kind);
+        let missing = names
+            .into_iter()
+            .filter(|name| !present.contains(&name.as_str()));
+        let missing: Vec<String> = missing.collect();
+        let objects = batch.entries.into_iter();
+        let objects = objects.map(|entry| self.object(entry)).collect();
+        self.revision = Some(batch.revision);
+        self.world.apply(objects, "store");
+        for name in missing {
+            self.remove(name, batch.revision);
+        }
+        Ok(())
+    }
+
+    async fn watch(&mut self, revision: u64) -> store::Result<()> {
+        let asked_at = self.world.now();
+        let wait = self.watch_wait();
+        let batch = match self.client.watch(self.kind, revision, wait).await {
+            Err(store::StoreError::HistoryGone) => {
+                log::info!(target: "sardinepaddle", kind = self.kind.wire_name(), revision;
+                    "history is gone: listing anew");
+                self.world
+                    .metrics
+                    .store_call(self.kind.wire_name(), "history_gone");
+                self.revision = None;
+                return Ok(());
+            }
+            batch => batch?,
+        };
+        let late = self.world.now() - asked_at - wait.as_secs_f64() * 1_000.0;
+        self.away = self.away || late > LATE_ANSWER_MS;
+        self.note_answer();
+        self.log_skipped(&batch.skipped);
+        self.revision = Some(batch.revision);
+        let mut objects = Vec::new();
+        for event in batch.entries {
+            if event.removed {
+                let revision = event.object.revision.max(revision + 1);
+                self.remove(event.object.name, revision);
+            } else {
+                objects.push(self.object(event.object));
+            }
+        }
+        self.world.apply(objects, "store");
+        Ok(())
+    }
+
+    fn watch_wait(&self) -> Duration {
+        let now = self.world.now();
+        let due = self.held.values().copied().fold(f64::INFINITY, f64::min);
+        let until_due = Duration::from_secs_f64(((due - now) / 1_000.0).clamp(0.02, 60.0));
+        WATCH_WAIT.min(until_due)
+    }
+
+    fn object(&mut self, stored: store::StoredObject) -> replica::ReplicaObject {
+        if self.held.remove(&stored.name).is_some() {
+            log::info!(target: "sardinepaddle", endpoint = stored.name, revision = stored.revision;
+                "lapsed entry is back");
+        }
+        replica::ReplicaObject {
+            kind: self.kind as u8,
+            name: stored.name,
+            revision: stored.revision,
+            spec: Some(stored.spec),
+        }
+    }
+
+    /// Takes a removal in, at once or once it can be no lapse any more.
+    fn remove(&mut self, name: String, revision: u64) {
+        let until = self.back_at + LAPSE_HOLD_MS;
+        if self.kind == catalog::ObjectKind::Endpoints && self.world.now() < until {
+            log::info!(target: "sardinepaddle", endpoint = name, revision;
+                "entry lapsed with the store: held for its return");
+            self.held.insert(name, until);
+            return;
+        }
+        let object = replica::ReplicaObject {
+            kind: self.kind as u8,
+            name,
+            revision,
+            spec: None,
+        };
+        self.world.apply(vec![object], "store");
+    }
+
+    fn drop_held(&mut self) {
+        let now = self.world.now();
+        let revision = self.revision.unwrap_or_default();
+        let due: Vec<String> = self
+            .held
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.held.remove(&name);
+            self.remove(name, revision);
+        }
+    }
+
+    fn note_answer(&mut self) {
+        let kind = self.kind.wire_name();
+        self.world.metrics.store_call(kind, "done");
+        self.world.note_fresh(0.0);
+        if self.away {
+            self.away = false;
+            self.back_at = self.world.now();
+            log::info!(target: "sardinepaddle", kind; "store is back");
+        }
+    }
+
+    fn note_failure(&mut self, error: &store::StoreError) {
+        let kind = self.kind.wire_name();
+        self.world.metrics.store_call(kind, "failed");
+        if !self.away {
+            self.away = true;
+            let age = self.world.data_age();
+            log::warn!(target: "sardinepaddle", kind, error:% = error, data_age_ms = age;
+                "store lost");
+        }
+    }
+
+    fn log_skipped(&self, skipped: &[String]) {
+        for reason in skipped {
+            log::warn!(target: "sardinepaddle", kind = self.kind.wire_name(), reason;
+                "entry skipped: unreadable");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,152 @@
+//! The port for callers.
+
+use std::convert;
+use std::rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use platform::headers;
+use pool::routes;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::answer;
+use crate::relay;
+use crate::request;
+use crate::upstream;
+use crate::world;
+
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Least size of the buffer for a request head that the HTTP library takes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// What all connections of callers share.
+#[derive(Clone)]
+pub(crate) struct CallerPort {
+    pub world: rc::Rc<world::DaemonWorld>,
+    pub upstreams: rc::Rc<upstream::UpstreamPool>,
+    /// Turns true when kept connections are to end after the request at hand.
+    pub closing: watch::Receiver<bool>,
+}
+
+/// Takes connections until the process ends.
+pub(crate) async fn accept(port: CallerPort, listener: tokio::net::TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without it events wait for each other's acknowledgement.
+                let _ = stream.set_nodelay(true);
+                tokio::task::spawn_local(serve(port.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(target: "sardinepaddle", error:% = error; "cannot accept a caller");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(port: CallerPort, stream: tokio::net::TcpStream) {
+    let limits = port.world.index().config().limits.clone();
+    let mut closing = port.closing.clone();
+    let service = hyper::service::service_fn(move |incoming| {
+        let port = port.clone();
+        async move { Ok::<_, convert::Infallible>(answer(port, incoming).await) }
+    });
+    // The library's limit on heads runs from the end of the last answer: it covers the idle time.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout + limits.head_timeout)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let told = closing.wait_for(|closing| *closing);
+    tokio::select! {
+        // A broken connection has ended its requests, which say so in the log.
+        _ = connection.as_mut() => return,
+        _ = told => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer(
+    port: CallerPort,
+    incoming: http::Request<Incoming>,
+) -> http::Response<answer::AnswerBody> {
+    let leaving = port.world.is_leaving();
+    let mut response = match read(&port, incoming).await {
+        Ok(request) => relay::run(request::RequestRun::new(request)).await,
+        Err(own) => answer::own(own),
+    };
+    if leaving {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+/// Reads a request whole and finds its route.
+async fn read(
+    port: &CallerPort,
+    incoming: http::Request<Incoming>,
+) -> Result<request::CallerRequest, answer::OwnAnswer> {
+    let world = port.world.clone();
+    let arrived = world.now();
+    let (parts, body) = incoming.into_parts();
+    let hints = headers::read_hints(&parts.headers);
+    let refuse = |own: answer::OwnAnswer| {
+        log::info!(target: "sardinepaddle", request = hints.attempt, reason = own.reason(),
+            path = parts.uri.path(), version = world.index().config().version,
+            data_age_ms = world.data_age(); "request turned away");
+        world
+            .metrics
+            .request("", "turned_away", own.reason(), world.now() - arrived);
+        own
+    };
+    if !world.has_config() {
+        return Err(refuse(answer::OwnAnswer::NotReady));
+    }
+    let index = world.index();
+    let host = parts.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let found = index
+        .find(host, parts.uri.path(), hints.key.as_deref(), rand::random())
+        .map_err(|error| {
+            refuse(match error {
+                routes::RouteError::NoRoute => answer::OwnAnswer::NoRoute,
+                routes::RouteError::BadKey => answer::OwnAnswer::BadKey,
+            })
+        })?;
+    let timeout = found.route.timeout;
+    let patience = hints.patience.unwrap_or(timeout).min(timeout);
+    let limits = &index.config().limits;
+    let limited = http_body_util::Limited::new(body, limits.body_bytes);
+    let whole = time::timeout(patience, limited.collect()).await;
+    let body = match whole {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(refuse(answer::OwnAnswer::BodyTooLarge));
+        }
+        Ok(Err(_)) | Err(_) => return Err(refuse(answer::OwnAnswer::BodyBroken)),
+    };
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(request::CallerRequest {
+        upstreams: port.upstreams.clone(),
+        found,
+        method: parts.method.clone(),
+        path: path.to_owned(),
+        headers: parts.headers.clone(),
+        body,
+        arrived,
+        deadline: arrived + request::millis(patience),
+        hints,
+        world,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,93 @@
+//! What daemons tell each other, and how it goes over a connection.
+
+use bytes::Bytes;
+use model::ids;
+use pool::job;
+use pool::replica;
+use serde::{Deserialize, Serialize};
+use tokio_util::codec;
+
+/// Most bytes of one message: a configuration of some thousand routes fits several times.
+const MOST_BYTES: usize = 16 * 1024 * 1024;
+
+/// A message between two daemons.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum LinkMessage {
+    /// Who speaks; the first message of both sides.
+    Hello {
+        /// Its host.
+        host: ids::HostId,
+        /// This life of its process.
+        life: u64,
+    },
+    /// Objects of the store.
+    Objects(Vec<replica::ReplicaObject>),
+    /// Sign of life, sent at a fixed pace by the daemon that opened the connection, and replied to.
+    Beat {
+        /// Age of what the sender knows of the store, ms.
+        data_age_ms: u64,
+        /// Whether the sender can place requests.
+        placing: bool,
+    },
+    /// Attempts that run at the sender, for a daemon that is to place from now on.
+    Running(Vec<job::RunningJob>),
+    /// Asks for a place.
+    Ask {
+        /// The attempt.
+        job: job::JobId,
+        /// What is asked.
+        ask: job::PlaceAsk,
+    },
+    /// The request waits for a place.
+    Queued {
+        /// The attempt.
+        job: job::JobId,
+    },
+    /// Answers an ask.
+    Verdict {
+        /// The attempt.
+        job: job::JobId,
+        /// The answer.
+        verdict: job::PlaceVerdict,
+    },
+    /// The request is no longer to be placed, or is over without word of its endpoint.
+    Withdraw {
+        /// The attempt.
+        job: job::JobId,
+    },
+    /// The first event of the answer came.
+    FirstEvent {
+        /// The attempt.
+        job: job::JobId,
+    },
+    /// The attempt is over.
+    End {
+        /// The attempt.
+        job: job::JobId,
+        /// How it ended.
+        end: job::JobEnd,
+    },
+}
+
+/// Frames of messages: a length and as many bytes.
+pub fn frames() -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder()
+        .max_frame_length(MOST_BYTES)
+        .new_codec()
+}
+
+/// Encodes a message.
+///
+/// ```
+/// use sardinepaddle_gateway::message::{decode, encode, LinkMessage};
+/// let message = LinkMessage::Beat { data_age_ms: 40, placing: true };
+/// assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
+/// ```
+pub fn encode(message: &LinkMessage) -> Result<Bytes, postcard::Error> {
+    postcard::to_stdvec(message).map(Bytes::from)
+}
+
+/// Decodes a message.
+pub fn decode(bytes: &[u8]) -> Result<LinkMessage, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,155 @@
+//! Metrics by opentelemetry, scraped as Prometheus text.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics as api;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics;
+use prometheus::Encoder;
+
+/// Upper bounds of the histograms of times, seconds: the users' objectives and limits lie between.
+const TIME_BOUNDS: [f64; 14] = [
+    0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 4.0, 6.0, 10.0, 15.0,
+];
+
+/// Why metrics could not be set up or written.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}")]
+pub(crate) struct MetricsError(String);
+
+/// Result of this module.
+pub(crate) type Result<T> = std::result::Result<T, MetricsError>;
+
+/// All metrics of a daemon.
+pub(crate) struct GatewayMetrics {
+    registry: prometheus::Registry,
+    _provider: metrics::SdkMeterProvider,
+    requests: api::Counter<u64>,
+    placements: api::Counter<u64>,
+    attempts: api::Counter<u64>,
+    store_calls: api::Counter<u64>,
+    peer_messages: api::Counter<u64>,
+    first_event: api::Histogram<f64>,
+    prediction_error: api::Histogram<f64>,
+    placing: api::Histogram<f64>,
+    whole: api::Histogram<f64>,
+    data_age: api::Gauge<f64>,
+    config_version: api::Gauge<u64>,
+    waiting: api::Gauge<u64>,
+    log_lines_dropped: api::Gauge<u64>,
+}
+
+impl GatewayMetrics {
+    /// Sets all metrics up.
+    pub fn new() -> Result<Self> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| MetricsError(error.to_string()))?;
+        let provider = metrics::SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("sardinepaddle");
+        let counter = |name, help| meter.u64_counter(name).with_description(help).build();
+        let gauge = |name, help| meter.u64_gauge(name).with_description(help).build();
+        let histogram = |name, help| {
+            meter
+                .f64_histogram(name)
+                .with_description(help)
+                .with_boundaries(TIME_BOUNDS.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: counter("requests", "Requests by outcome and reason"),
+            placements: counter("placements", "Verdicts on where requests run, by outcome"),
+            attempts: counter("attempts", "Attempts on endpoints by how they ended"),
+            store_calls: counter("store_calls", "Calls to the store by kind and outcome"),
+            peer_messages: counter("peer_messages", "Messages to other daemons"),
+            first_event: histogram(
+                "first_event_seconds",
+                "Time from a request's arrival to the first event of its answer",
+            ),
+            prediction_error: histogram(
+                "prediction_error_seconds",
+                "Distance between the predicted and the seen time of first events",
+            ),
+            placing: histogram("placing_seconds", "Time that requests waited for a place"),
+            whole: histogram(
+                "request_seconds",
+                "Time from arrival to the end of the answer",
+            ),
+            data_age: meter
+                .f64_gauge("store_data_age_seconds")
+                .with_description("Age of what is known of the store")
+                .build(),
+            config_version: gauge("config_version", "Version of the configuration in force"),
+            waiting: gauge("waiting_requests", "Requests that wait for a place here"),
+            log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that is over.
+    pub fn request(&self, route: &str, outcome: &'static str, reason: &'static str, ms: f64) {
+        let route_label = KeyValue::new("route", route.to_owned());
+        let labels = [
+            route_label.clone(),
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("reason", reason),
+        ];
+        self.requests.add(1, &labels);
+        self.whole.record(ms / 1_000.0, &[route_label]);
+    }
+
+    /// Records a verdict and the wait for it.
+    pub fn placement(&self, outcome: &'static str, ms: f64) {
+        self.placements.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.placing.record(ms / 1_000.0, &[]);
+    }
+
+    /// Counts an attempt that is over.
+    pub fn attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records when the first event came, and when it was predicted.
+    pub fn first_event(&self, route: &str, ms: f64, seen_ms: f64, predicted_ms: f64) {
+        let labels = [KeyValue::new("route", route.to_owned())];
+        self.first_event.record(ms / 1_000.0, &labels);
+        let error = (seen_ms - predicted_ms).abs() / 1_000.0;
+        self.prediction_error.record(error, &labels);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts a message to another daemon.
+    pub fn peer_message(&self) {
+        self.peer_messages.add(1, &[]);
+    }
+
+    /// Records what changes slowly.
+    pub fn observe(&self, data_age_ms: f64, version: u64, waiting: usize, dropped: usize) {
+        self.data_age.record(data_age_ms / 1_000.0, &[]);
+        self.config_version.record(version, &[]);
+        self.waiting.record(waiting as u64, &[]);
+        self.log_lines_dropped.record(dropped as u64, &[]);
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn render(&self) -> Result<String> {
+        let mut buffer = Vec::new();
+        let encoder = prometheus::TextEncoder::new();
+        encoder
+            .encode(&self.registry.gather(), &mut buffer)
+            .map_err(|error| MetricsError(error.to_string()))?;
+        String::from_utf8(buffer).map_err(|error| MetricsError(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,606 @@
+//! One caller's request: looks for a place, sends it, and tries again where that is allowed.
+
+use std::rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use model::ids;
+use platform::headers;
+use pool::attempts;
+use pool::job;
+use pool::routes;
+use pool::trouble;
+use tokio::time;
+
+use crate::answer;
+use crate::reservations;
+use crate::upstream;
+use crate::world;
+
+/// Shortest time given to a first event before another endpoint is tried, ms.
+const LEAST_FIRST_WAIT_MS: f64 = 900.0;
+/// Times the predicted wait after which a first event is taken for lost.
+const FIRST_WAIT_FACTOR: f64 = 3.0;
+/// Share of a caller's patience between events after which another endpoint is tried.
+const PATIENCE_SHARE: f64 = 0.55;
+/// Shortest patience of callers between two events, ms; from the users' protocol.
+const LEAST_PATIENCE_MS: f64 = 2_000.0;
+/// Objectives and pauses that callers wait at least; from the users' protocol.
+const PATIENCE_FACTORS: (f64, f64) = (4.0, 8.0);
+/// Share of the time left given to a plain call before another endpoint is tried.
+const CALL_SHARE: f64 = 0.45;
+/// Advice on when to come back after endpoints refused, ms.
+const REFUSED_RETRY_MS: u64 = 300;
+/// Largest failure answer of an endpoint that is kept to be passed on.
+const FAILURE_BODY_BYTES: usize = 1024 * 1024;
+
+/// A request as read from its caller.
+pub(crate) struct CallerRequest {
+    pub world: rc::Rc<world::DaemonWorld>,
+    pub upstreams: rc::Rc<upstream::UpstreamPool>,
+    pub found: routes::RouteMatch,
+    pub hints: headers::CallerHints,
+    pub method: http::Method,
+    pub path: String,
+    pub headers: http::HeaderMap,
+    pub body: Bytes,
+    pub arrived: f64,
+    pub deadline: f64,
+}
+
+impl CallerRequest {
+    pub fn left_ms(&self) -> f64 {
+        self.deadline - self.world.now()
+    }
+
+    /// Longest pause that the caller bears before and between events, ms.
+    fn patience_ms(&self) -> f64 {
+        let route = &self.found.route;
+        let (objectives, pauses) = PATIENCE_FACTORS;
+        let by_objective = objectives * millis(route.objective);
+        let by_pause = pauses * millis(route.pause_objective);
+        LEAST_PATIENCE_MS.max(by_objective).max(by_pause)
+    }
+}
+
+pub(crate) fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
+pub(crate) fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1_000.0)
+}
+
+/// A place held for an attempt. Dropped, it is given back.
+pub(crate) struct JobLease {
+    world: rc::Rc<world::DaemonWorld>,
+    pub job: job::JobId,
+    over: bool,
+}
+
+impl JobLease {
+    fn end(&mut self, end: job::JobEnd) {
+        self.over = true;
+        self.world.end_job(self.job, end);
+    }
+}
+
+impl Drop for JobLease {
+    fn drop(&mut self) {
+        if !self.over {
+            self.world.withdraw_job(self.job);
+        }
+    }
+}
+
+/// An attempt that was sent.
+pub(crate) struct ActiveAttempt {
+    lease: JobLease,
+    _memory: reservations::MemoryLease,
+    connection: upstream::UpstreamConnection,
+    pub plan: job::PlacePlan,
+    pub placed_at: f64,
+    keep: Option<Duration>,
+}
+
+impl ActiveAttempt {
+    pub fn job(&self) -> job::JobId {
+        self.lease.job
+    }
+
+    /// The attempt gave all that it should.
+    pub async fn complete(mut self, upstreams: &upstream::UpstreamPool) {
+        self.lease.end(job::JobEnd {
+            sign: trouble::EndpointSign::Good,
+            at_fault: None,
+        });
+        upstreams.put_back(self.connection, self.keep).await;
+    }
+
+    /// The attempt failed; its connection is cut.
+    pub fn fail(mut self, sign: trouble::EndpointSign) {
+        self.lease.end(job::JobEnd {
+            sign,
+            at_fault: None,
+        });
+    }
+}
+
+/// An endpoint's answer whose head is fine.
+pub(crate) struct LiveAnswer {
+    pub attempt: ActiveAttempt,
+    pub status: http::StatusCode,
+    pub headers: http::HeaderMap,
+    pub body: Incoming,
+}
+
+/// A failure that an endpoint answered with, kept as a whole.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointFailure {
+    pub status: http::StatusCode,
+    pub headers: http::HeaderMap,
+    pub body: Bytes,
+}
+
+/// Why no answer can be had any more.
+#[derive(Debug)]
+pub(crate) enum GivenUp {
+    Own(answer::OwnAnswer),
+    /// The endpoint's own failure is passed on.
+    Endpoint(EndpointFailure),
+}
+
+/// How an attempt went wrong.
+struct AttemptFault {
+    fate: attempts::AttemptFate,
+    sign: trouble::EndpointSign,
+    at_fault: Option<ids::EndpointId>,
+    reason: &'static str,
+    failure: Option<EndpointFailure>,
+    /// The pool's own refusal: there is nothing to try again.
+    declined: Option<answer::OwnAnswer>,
+}
+
+impl AttemptFault {
+    fn not_run(sign: trouble::EndpointSign, reason: &'static str) -> Self {
+        Self {
+            fate: attempts::AttemptFate::NotRun,
+            sign,
+            at_fault: None,
+            reason,
+            failure: None,
+            declined: None,
+        }
+    }
+
+    fn may_have_run(sign: trouble::EndpointSign, reason: &'static str) -> Self {
+        Self {
+            fate: attempts::AttemptFate::MayHaveRun,
+            ..Self::not_run(sign, reason)
+        }
+    }
+
+    fn declined(answer: answer::OwnAnswer) -> Self {
+        Self {
+            declined: Some(answer),
+            ..Self::not_run(trouble::EndpointSign::Nothing, "declined")
+        }
+    }
+}
+
+/// The attempts of one request.
+pub(crate) struct RequestRun {
+    pub request: rc::Rc<CallerRequest>,
+    pub last_event: Option<u64>,
+    attempts: u32,
+    runs: u32,
+    ran: bool,
+    avoid: Vec<ids::EndpointId>,
+    failure: Option<EndpointFailure>,
+}
+
+impl RequestRun {
+    pub fn new(request: CallerRequest) -> Self {
+        Self {
+            last_event: request.hints.last_event,
+            request: rc::Rc::new(request),
+            attempts: 0,
+            runs: 0,
+            ran: false,
+            avoid: Vec::new(),
+            failure: None,
+        }
+    }
+
+    /// Tries endpoints until one begins to answer.
+    pub async fn next_answer(&mut self) -> Result<LiveAnswer, GivenUp> {
+        loop {
+            let fault = match self.attempt().await {
+                Ok(answer) => return Ok(answer),
+                Err(fault) => fault,
+            };
+            if let Some(given_up) = self.after_fault(fault) {
+                return Err(given_up);
+            }
+        }
+    }
+
+    /// An answer that had begun broke off. `Err` if there is nothing more to try.
+    pub fn after_break(
+        &mut self,
+        attempt: ActiveAttempt,
+        sign: trouble::EndpointSign,
+        reason: &'static str,
+    ) -> Result<(), GivenUp> {
+        self.avoid.push(attempt.plan.first.endpoint.clone());
+        attempt.fail(sign);
+        let fault = AttemptFault::may_have_run(sign, reason);
+        self.after_fault(fault).map_or(Ok(()), Err)
+    }
+
+    fn after_fault(&mut self, fault: AttemptFault) -> Option<GivenUp> {
+        let world = &self.request.world;
+        world.metrics.attempt(fault.reason);
+        if fault.failure.is_some() {
+            self.failure = fault.failure;
+        }
+        let step = match fault.declined {
+            Some(_) => None,
+            None => {
+                self.attempts += 1;
+                let ran = fault.fate == attempts::AttemptFate::MayHaveRun;
+                self.runs += u32::from(ran);
+                let step = attempts::next_step(&attempts::AttemptRecord {
+                    repeat: self.request.found.route.repeat,
+                    fate: fault.fate,
+                    ran_before: self.ran,
+                    runs: self.runs,
+                    attempts: self.attempts,
+                    max_attempts: self.request.found.route.max_attempts,
+                    left_ms: self.request.left_ms(),
+                });
+                self.ran = self.ran || ran;
+                Some(step)
+            }
+        };
+        log::info!(target: "sardinepaddle", request = self.request.hints.attempt,
+            reason = fault.reason, ran:% = self.ran, attempts = self.attempts,
+            left_ms = self.request.left_ms(), step:? = step; "attempt failed");
+        if step == Some(attempts::NextStep::TryAgain) {
+            return None;
+        }
+        Some(self.give_up(fault.declined))
+    }
+
+    fn give_up(&mut self, declined: Option<answer::OwnAnswer>) -> GivenUp {
+        if let Some(failure) = self.failure.take() {
+            return GivenUp::Endpoint(failure);
+        }
+        let late = self.request.left_ms() <= 0.0;
+        let own = match (self.ran, late, declined) {
+            (true, true, _) => answer::OwnAnswer::TimedOut,
+            (true, false, _) => answer::OwnAnswer::Failed,
+            (false, _, Some(declined)) => declined,
+            (false, _, None) => answer::OwnAnswer::NotRun {
+                reason: "endpoints_refused",
+                retry_after_ms: REFUSED_RETRY_MS,
+            },
+        };
+        GivenUp::Own(own)
+    }
+
+    /// Whether another endpoint may be tried after one that is silent.
+    fn may_try_more(&self) -> bool {
+        let route = &self.request.found.route;
+        route.repeat.is_repeatable() && self.runs + 1 < route.max_attempts
+    }
+
+    /// Time that a first event may take, ms.
+    pub fn first_wait_ms(&self, plan: &job::PlacePlan) -> f64 {
+        let left = self.request.left_ms();
+        if !self.may_try_more() {
+            return left;
+        }
+        let wait = if self.request.found.route.repeat.is_stream() {
+            let most = PATIENCE_SHARE * self.request.patience_ms();
+            let least = LEAST_FIRST_WAIT_MS.min(most);
+            (FIRST_WAIT_FACTOR * plan.predicted_ms).clamp(least, most)
+        } else {
+            (CALL_SHARE * left).max(FIRST_WAIT_FACTOR * plan.predicted_ms)
+        };
+        wait.min(left)
+    }
+
+    /// Time that the next event may take, ms.
+    pub fn pause_wait_ms(&self) -> f64 {
+        let left = self.request.left_ms();
+        if !self.may_try_more() {
+            return left;
+        }
+        left.min(PATIENCE_SHARE * self.request.patience_ms())
+    }
+
+    async fn attempt(&mut self) -> Result<LiveAnswer, AttemptFault> {
+        let request = self.request.clone();
+        let world = &request.world;
+        let mut lease = JobLease {
+            world: world.clone(),
+            job: world.new_job(),
+            over: false,
+        };
+        let plan = self.place(lease.job).await?;
+        let placed_at = world.now();
+        let sent = self.send(&lease, &plan).await;
+        let fault = match sent {
+            Ok((connection, memory, response)) => {
+                let keep = upstream::kept_for(response.headers());
+                match self.judge(response, &plan).await {
+                    Ok((status, headers, body)) => {
+                        return Ok(LiveAnswer {
+                            attempt: ActiveAttempt {
+                                lease,
+                                _memory: memory,
+                                connection,
+                                placed_at,
+                                plan,
+                                keep,
+                            },
+                            status,
+                            headers,
+                            body,
+                        });
+                    }
+                    Err(fault) => fault,
+                }
+            }
+            Err(fault) => fault,
+        };
+        let at_fault = fault.at_fault.clone();
+        self.avoid.push(
+            at_fault
+                .clone()
+                .unwrap_or_else(|| plan.first.endpoint.clone()),
+        );
+        lease.end(job::JobEnd {
+            sign: fault.sign,
+            at_fault,
+        });
+        Err(fault)
+    }
+
+    async fn place(&self, job: job::JobId) -> Result<job::PlacePlan, AttemptFault> {
+        let request = &self.request;
+        let world = &request.world;
+        let asked_at = world.now();
+        let ask = self.ask(asked_at);
+        let verdict = time::timeout(span(request.left_ms()), world.place(job, ask)).await;
+        let waited = world.now() - asked_at;
+        match verdict {
+            Ok(Some(job::PlaceVerdict::Placed(plan))) => {
+                world.metrics.placement("placed", waited);
+                log::info!(target: "sardinepaddle", request = request.hints.attempt,
+                    job = job.number, endpoint:% = plan.first.endpoint,
+                    helpers = plan.helpers.len(), predicted_ms = plan.predicted_ms,
+                    waited_ms = waited, left_ms = request.left_ms(),
+                    data_age_ms = world.data_age(); "request placed");
+                Ok(plan)
+            }
+            Ok(Some(job::PlaceVerdict::Declined {
+                reason,
+                retry_after_ms,
+            })) => {
+                world.metrics.placement(reason.name(), waited);
+                log::info!(target: "sardinepaddle", request = request.hints.attempt,
+                    job = job.number, reason = reason.name(), retry_after_ms,
+                    waited_ms = waited, data_age_ms = world.data_age(); "request declined");
+                Err(AttemptFault::declined(answer::OwnAnswer::NotRun {
+                    reason: reason.name(),
+                    retry_after_ms,
+                }))
+            }
+            Ok(None) | Err(_) => {
+                world.metrics.placement("deadline_passed", waited);
+                Err(AttemptFault::declined(answer::OwnAnswer::NotRun {
+                    reason: "deadline_passed",
+                    retry_after_ms: REFUSED_RETRY_MS,
+                }))
+            }
+        }
+    }
+
+    fn ask(&self, now: f64) -> job::PlaceAsk {
+        let request = &self.request;
+        let route = &request.found.route;
+        let full_objective_ms = millis(route.objective);
+        let shape = match request.hints.tokens {
+            Some((tokens, answer_tokens)) => job::JobShape::Prompt {
+                tokens,
+                answer_tokens,
+                answer_guess: request.hints.answer_guess,
+            },
+            None => job::JobShape::Call,
+        };
+        job::PlaceAsk {
+            route: route.name.clone(),
+            service: request.found.service.clone(),
+            shape,
+            centre: request.world.settings().data_centre.clone(),
+            objective_ms: request.arrived + full_objective_ms - now,
+            full_objective_ms,
+            pause_ms: millis(route.pause_objective),
+            left_ms: request.left_ms(),
+            priority: request.found.priority,
+            avoid: self.avoid.clone(),
+            repeat: self.runs > 0 || self.attempts > 0,
+        }
+    }
+
+    async fn send(&self, lease: &JobLease, plan: &job::PlacePlan) -> Result<Sent, AttemptFault> {
+        let request = &self.request;
+        if !request.world.takes_work(&plan.first.endpoint) {
+            return Err(AttemptFault::not_run(
+                trouble::EndpointSign::Nothing,
+                "endpoint_left",
+            ));
+        }
+        let memory =
+            reservations::MemoryLease::reserve(&request.upstreams, lease.job, &plan.helpers).await;
+        let memory = memory.map_err(|endpoint| AttemptFault {
+            at_fault: Some(endpoint),
+            ..AttemptFault::not_run(trouble::EndpointSign::Full, "memory_refused")
+        })?;
+        let repeatable = request.found.route.repeat.is_repeatable();
+        let mut fresh = !repeatable;
+        loop {
+            let connection = request
+                .upstreams
+                .connect(plan.first.address, fresh)
+                .await
+                .map_err(|error| {
+                    self.log_upstream(plan, &error);
+                    AttemptFault::not_run(trouble::EndpointSign::Unreachable, "unreachable")
+                })?;
+            match self.exchange(connection, lease, plan).await {
+                Err(upstream::UpstreamError::Stale(_)) if !fresh => fresh = true,
+                Err(error) => {
+                    self.log_upstream(plan, &error);
+                    return Err(match error {
+                        upstream::UpstreamError::Silent => AttemptFault::may_have_run(
+                            trouble::EndpointSign::Silent,
+                            "no_answer_in_time",
+                        ),
+                        upstream::UpstreamError::Unsendable(_) => {
+                            AttemptFault::not_run(trouble::EndpointSign::Nothing, "unsendable")
+                        }
+                        _ => AttemptFault::may_have_run(
+                            trouble::EndpointSign::Failed,
+                            "connection_broke",
+                        ),
+                    });
+                }
+                Ok((connection, response)) => return Ok((connection, memory, response)),
+            }
+        }
+    }
+
+    fn log_upstream(&self, plan: &job::PlacePlan, error: &upstream::UpstreamError) {
+        log::info!(target: "sardinepaddle", request = self.request.hints.attempt,
+            endpoint:% = plan.first.endpoint, error:% = error; "exchange failed");
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: upstream::UpstreamConnection,
+        lease: &JobLease,
+        plan: &job::PlacePlan,
+    ) -> upstream::Result<(upstream::UpstreamConnection, http::Response<Incoming>)> {
+        let request = &self.request;
+        let helpers: Vec<headers::HelperSlot> = plan
+            .helpers
+            .iter()
+            .map(|helper| headers::HelperSlot {
+                address: helper.address,
+                reservation: (helper.reserve_tokens > 0)
+                    .then(|| reservations::reservation_id(lease.job, helper)),
+            })
+            .collect();
+        let order = headers::SendOrder {
+            endpoint: &plan.first.endpoint,
+            left: span(request.left_ms()),
+            customer: request.found.customer.as_ref(),
+            priority: request.hints.tokens.is_some().then_some(plan.priority),
+            helpers: &helpers,
+            last_event: self.last_event,
+        };
+        let mut outgoing = http::Request::builder()
+            .method(request.method.clone())
+            .uri(request.path.as_str())
+            .body(Full::new(request.body.clone()))?;
+        *outgoing.headers_mut() = headers::for_endpoint(&request.headers, &order);
+        let limit = span(self.first_wait_ms(plan));
+        let reply = time::timeout(limit, connection.exchange(outgoing)).await;
+        let response = reply.map_err(|_| upstream::UpstreamError::Silent)??;
+        Ok((connection, response))
+    }
+
+    /// Says whether an answer's head is that of a good answer to this request.
+    async fn judge(
+        &self,
+        response: http::Response<Incoming>,
+        plan: &job::PlacePlan,
+    ) -> Result<(http::StatusCode, http::HeaderMap, Incoming), AttemptFault> {
+        let (parts, body) = response.into_parts();
+        let marks = headers::read_marks(parts.status, &parts.headers);
+        let own = &self.request.hints.attempt;
+        let crossed = marks.attempt.as_ref().is_some_and(|other| other != own);
+        if crossed {
+            log::warn!(target: "sardinepaddle", request = own, endpoint:% = plan.first.endpoint,
+                other = marks.attempt; "answer to another request dropped");
+            return Err(AttemptFault::may_have_run(
+                trouble::EndpointSign::Failed,
+                "crossed_answer",
+            ));
+        }
+        if marks.not_run {
+            let misdirected = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+            let sign = if misdirected {
+                trouble::EndpointSign::Unreachable
+            } else {
+                trouble::EndpointSign::Full
+            };
+            let members = std::iter::once(&plan.first).chain(&plan.helpers);
+            let at_fault = marks.at_fault.as_ref().and_then(|name| {
+                let mut members = members;
+                let member = members.find(|member| {
+                    member.endpoint.as_str() == name || member.address.to_string() == *name
+                });
+                member.map(|member| member.endpoint.clone())
+            });
+            log::info!(target: "sardinepaddle", request = own, endpoint:% = plan.first.endpoint,
+                status = parts.status.as_u16(), at_fault = marks.at_fault;
+                "endpoint has not run the request");
+            return Err(AttemptFault {
+                at_fault,
+                ..AttemptFault::not_run(sign, "endpoint_refused")
+            });
+        }
+        if parts.status.is_success() {
+            let sound = marks.signed && !marks.encoded && marks.attempt.is_some();
+            if sound {
+                return Ok((parts.status, parts.headers, body));
+            }
+            return Err(AttemptFault::may_have_run(
+                trouble::EndpointSign::Failed,
+                "unsound_answer",
+            ));
+        }
+        log::info!(target: "sardinepaddle", request = own, endpoint:% = plan.first.endpoint,
+            status = parts.status.as_u16(); "endpoint answered with a failure");
+        let mut fault =
+            AttemptFault::may_have_run(trouble::EndpointSign::Failed, "endpoint_failed");
+        if parts.status.is_client_error() {
+            fault.sign = trouble::EndpointSign::Nothing;
+        }
+        let limited = http_body_util::Limited::new(body, FAILURE_BODY_BYTES);
+        let whole = time::timeout(span(self.request.left_ms()), limited.collect()).await;
+        if let Ok(Ok(whole)) = whole {
+            let promise = [429, 503, 408, 421].contains(&parts.status.as_u16());
+            // A status that promises that nothing ran is not passed on without the proof.
+            fault.failure = (!promise).then(|| EndpointFailure {
+                status: parts.status,
+                headers: parts.headers,
+                body: whole.to_bytes(),
+            });
+        }
+        Err(fault)
+    }
+}
+
+type Sent = (
+    upstream::UpstreamConnection,
+    reservations::MemoryLease,
+    http::Response<Incoming>,
+);
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,183 @@
+//! Connections to endpoints, kept for further requests.
+
+use std::cell;
+use std::net;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use model::map;
+use tokio::task;
+use tokio::time;
+
+/// Time that a connection to an endpoint may take; longer ones are dead or cut off.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Most idle connections kept for one endpoint.
+const MOST_IDLE: usize = 8;
+/// Time for which a connection is kept idle if the endpoint names none.
+const IDLE_TIME: Duration = Duration::from_millis(2_000);
+/// Time before the end named by an endpoint at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after which unacknowledged bytes end a connection.
+const SILENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why an exchange with an endpoint gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum UpstreamError {
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    #[error("connection broke before an answer: {0}")]
+    Broken(hyper::Error),
+    #[error("kept connection was closed: {0}")]
+    Stale(hyper::Error),
+    #[error("no answer in time")]
+    Silent,
+    #[error("request can't be built: {0}")]
+    Unsendable(#[from] http::Error),
+}
+
+/// Result of this module.
+pub(crate) type Result<T> = std::result::Result<T, UpstreamError>;
+
+/// A task that ends with its owner.
+struct OwnedTask(task::JoinHandle<()>);
+
+impl Drop for OwnedTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection. Dropped, it is cut at once, and the endpoint drops its work.
+pub(crate) struct UpstreamConnection {
+    address: net::SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    _driver: OwnedTask,
+    reused: bool,
+}
+
+impl UpstreamConnection {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn exchange(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>> {
+        let reply = self.sender.send_request(request).await;
+        reply.map_err(|error| match self.reused {
+            true => UpstreamError::Stale(error),
+            false => UpstreamError::Broken(error),
+        })
+    }
+}
+
+struct IdleConnection {
+    connection: UpstreamConnection,
+    until: time::Instant,
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub(crate) struct UpstreamPool {
+    idle: cell::RefCell<map::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
+}
+
+impl UpstreamPool {
+    /// A connection for one exchange: a kept one, or a new one if `fresh`.
+    pub async fn connect(
+        &self,
+        address: net::SocketAddr,
+        fresh: bool,
+    ) -> Result<UpstreamConnection> {
+        let kept = if fresh { None } else { self.take(address) };
+        match kept {
+            Some(connection) => Ok(connection),
+            None => dial(address).await,
+        }
+    }
+
+    fn take(&self, address: net::SocketAddr) -> Option<UpstreamConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        let now = time::Instant::now();
+        while let Some(mut entry) = kept.pop() {
+            if entry.until > now && entry.connection.sender.is_ready() {
+                entry.connection.reused = true;
+                return Some(entry.connection);
+            }
+        }
+        None
+    }
+
+    /// Puts a connection back whose exchange is complete; `keep` is how long the endpoint keeps
+    /// it, `None` if it did not say.
+    pub async fn put_back(&self, mut connection: UpstreamConnection, keep: Option<Duration>) {
+        let span = keep.map_or(IDLE_TIME, |keep| keep.saturating_sub(IDLE_MARGIN));
+        if span.is_zero() || connection.sender.ready().await.is_err() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(connection.address).or_default();
+        if kept.len() >= MOST_IDLE {
+            kept.remove(0);
+        }
+        kept.push(IdleConnection {
+            connection,
+            until: time::Instant::now() + span,
+        });
+    }
+
+    /// Closes connections that have been idle too long.
+    pub fn sweep(&self) {
+        let now = time::Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|entry| entry.until > now && !entry.connection.sender.is_closed());
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+}
+
+async fn dial(address: net::SocketAddr) -> Result<UpstreamConnection> {
+    let failed = |error: String| UpstreamError::Connect(error);
+    let stream = time::timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| failed("timed out".to_owned()))?;
+    let stream = stream.map_err(|error| failed(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| failed(error.to_string()))?;
+    // Without it only a later time-out shows that the endpoint is gone.
+    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_TIMEOUT));
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    let driver = task::spawn_local(async move {
+        // How the connection ended shows in the exchange that was on it.
+        let _ = connection.await;
+    });
+    Ok(UpstreamConnection {
+        address,
+        sender,
+        _driver: OwnedTask(driver),
+        reused: false,
+    })
+}
+
+/// How long an endpoint keeps a connection open for more; zero if it does not.
+pub(crate) fn kept_for(headers: &http::HeaderMap) -> Option<Duration> {
+    let closes = headers.get_all(header::CONNECTION).iter().any(|value| {
+        let value = value.to_str().unwrap_or_default();
+        value.to_ascii_lowercase().contains("close")
+    });
+    if closes {
+        return Some(Duration::ZERO);
+    }
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/world.rs
@@ -0,0 +1,600 @@
+//! What one daemon knows, shared by all its tasks on its one thread.
+
+use std::cell;
+use std::rc;
+
+use model::ids;
+use model::map;
+use model::serving;
+use platform::catalog;
+use pool::job;
+use pool::placer;
+use pool::rank;
+use pool::replica;
+use pool::routes;
+use settings::gateway;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::logs;
+use crate::message;
+use crate::metrics;
+
+/// Age of what is known of the store beyond which it is not passed for current, ms.
+pub(crate) const STALE_MS: f64 = 2_500.0;
+/// Time after which an ask that met neither verdict nor word that it waits goes elsewhere, ms:
+/// some times the slowest exchange between two daemons that run.
+const ASK_PATIENCE_MS: f64 = 250.0;
+/// Share of the budget for repeats that a daemon gives out for others: two that place at the same
+/// time must not overdraw it.
+const REPEAT_SHARE: f64 = 0.4;
+/// Share that all daemons together give out while each places for itself.
+const ALONE_SHARE: f64 = 0.2;
+
+/// Who places requests, as this daemon sees it.
+#[derive(Clone, Debug)]
+pub(crate) enum PlacerRole {
+    /// This daemon, for all or for itself alone.
+    Own,
+    /// Another one, over a connection.
+    Remote {
+        host: ids::HostId,
+        sender: mpsc::UnboundedSender<message::LinkMessage>,
+    },
+}
+
+struct PendingAsk {
+    ask: job::PlaceAsk,
+    asked_at: f64,
+    remote: bool,
+    queued: bool,
+    verdict: oneshot::Sender<job::PlaceVerdict>,
+}
+
+/// Known objects of the store, decoded.
+struct KnownObjects {
+    replica: replica::ObjectReplica,
+    index: rc::Rc<routes::RouteIndex>,
+    endpoints: map::HashMap<ids::EndpointId, serving::LiveEndpoint>,
+    emptied: Vec<ids::CentreId>,
+    /// When the store was last heard, here or by a daemon that told.
+    fresh_at: f64,
+}
+
+/// The state and the ways to change it.
+pub(crate) struct DaemonWorld {
+    pub settings: cell::RefCell<rc::Rc<gateway::GatewaySettings>>,
+    pub clock: clock::SteadyClock,
+    pub life: u64,
+    pub metrics: metrics::GatewayMetrics,
+    log: logs::LogGuard,
+    known: cell::RefCell<KnownObjects>,
+    placer: cell::RefCell<placer::JobPlacer>,
+    pub rank: cell::RefCell<rank::DaemonRank>,
+    role: cell::RefCell<PlacerRole>,
+    pending: cell::RefCell<map::HashMap<job::JobId, PendingAsk>>,
+    running: cell::RefCell<map::HashMap<job::JobId, job::RunningJob>>,
+    /// Daemons whose requests this one places, by their lives.
+    followers: cell::RefCell<map::HashMap<u64, mpsc::UnboundedSender<message::LinkMessage>>>,
+    /// Number of the newest change of the replica.
+    changes: watch::Sender<u64>,
+    leaving: cell::Cell<bool>,
+    next_job: cell::Cell<u64>,
+    pub active: cell::Cell<usize>,
+}
+
+impl DaemonWorld {
+    /// A daemon that knows nothing yet.
+    pub fn new(
+        settings: gateway::GatewaySettings,
+        metrics: metrics::GatewayMetrics,
+        log: logs::LogGuard,
+    ) -> Self {
+        let bounds = &settings.bounds;
+        let bounds = placer::PlacerBounds {
+            retry_ratio: bounds.retry_ratio,
+            retry_extra: bounds.retry_extra,
+            retry_window_ms: bounds.retry_window_s * 1_000.0,
+            cold_factor: bounds.cold_factor,
+            cold_extra: bounds.cold_extra,
+        };
+        Self {
+            settings: cell::RefCell::new(rc::Rc::new(settings)),
+            clock: clock::SteadyClock::start(),
+            life: rand::random(),
+            metrics,
+            log,
+            known: cell::RefCell::new(KnownObjects {
+                replica: replica::ObjectReplica::default(),
+                index: rc::Rc::default(),
+                endpoints: map::HashMap::default(),
+                emptied: Vec::new(),
+                fresh_at: f64::NEG_INFINITY,
+            }),
+            placer: cell::RefCell::new(placer::JobPlacer::new(bounds)),
+            rank: cell::RefCell::new(rank::DaemonRank::default()),
+            role: cell::RefCell::new(PlacerRole::Own),
+            pending: cell::RefCell::default(),
+            running: cell::RefCell::default(),
+            followers: cell::RefCell::default(),
+            changes: watch::Sender::new(0),
+            leaving: cell::Cell::new(false),
+            next_job: cell::Cell::new(0),
+            active: cell::Cell::new(0),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> rc::Rc<gateway::GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Time since the start, ms.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// The configuration in force, indexed.
+    pub fn index(&self) -> rc::Rc<routes::RouteIndex> {
+        self.known.borrow().index.clone()
+    }
+
+    /// Whether a configuration is known.
+    pub fn has_config(&self) -> bool {
+        self.known.borrow().index.config().version > 0
+    }
+
+    /// Whether new requests are welcome here.
+    pub fn is_ready(&self) -> bool {
+        self.has_config() && !self.leaving.get()
+    }
+
+    /// Whether the process was asked to end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// The process was asked to end.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Age of what is known of the store, ms.
+    pub fn data_age(&self) -> f64 {
+        self.now() - self.known.borrow().fresh_at
+    }
+
+    /// What is known is at most this old.
+    pub fn note_fresh(&self, age_ms: f64) {
+        let at = self.now() - age_ms;
+        let mut known = self.known.borrow_mut();
+        known.fresh_at = known.fresh_at.max(at);
+    }
+
+    /// Records metrics that change slowly.
+    pub fn observe(&self) {
+        let version = self.known.borrow().index.config().version;
+        let waiting = self.placer.borrow().waiting();
+        let dropped = self.log.dropped.dropped_lines();
+        self.metrics
+            .observe(self.data_age().min(1e9), version, waiting, dropped);
+    }
+
+    /// Tells when the replica changes.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Objects that changed after a change, and the number of the newest one.
+    pub fn objects_since(&self, change: u64) -> (Vec<replica::ReplicaObject>, u64) {
+        let known = self.known.borrow();
+        (known.replica.since(change), known.replica.last_change())
+    }
+
+    /// Names known of a kind.
+    pub fn names(&self, kind: catalog::ObjectKind) -> Vec<String> {
+        self.known.borrow().replica.names(kind as u8)
+    }
+
+    /// Takes objects of the store in, as read here or told by another daemon.
+    pub fn apply(&self, objects: Vec<replica::ReplicaObject>, source: &str) {
+        let mut kinds = Vec::new();
+        {
+            let mut known = self.known.borrow_mut();
+            for object in objects {
+                let kind = object.kind;
+                if known.replica.apply(object) && !kinds.contains(&kind) {
+                    kinds.push(kind);
+                }
+            }
+        }
+        for kind in catalog::ObjectKind::ALL {
+            if kinds.contains(&(kind as u8)) {
+                self.decode(kind, source);
+            }
+        }
+        if !kinds.is_empty() {
+            let change = self.known.borrow().replica.last_change();
+            self.changes.send_replace(change);
+        }
+    }
+
+    fn decode(&self, kind: catalog::ObjectKind, source: &str) {
+        match kind {
+            catalog::ObjectKind::Config => self.decode_config(source),
+            catalog::ObjectKind::Endpoints => self.decode_endpoints(source),
+            catalog::ObjectKind::Emptied => self.decode_emptied(source),
+            catalog::ObjectKind::Daemons => self.decode_daemons(source),
+        }
+        self.refresh_placer();
+    }
+
+    fn decode_config(&self, source: &str) {
+        let mut known = self.known.borrow_mut();
+        let kind = catalog::ObjectKind::Config as u8;
+        let object = known.replica.present(kind);
+        let object = object
+            .into_iter()
+            .find(|object| object.name == catalog::CONFIG_NAME);
+        let Some(spec) = object.and_then(|object| object.spec.clone()) else {
+            return;
+        };
+        match catalog::read_config(&spec) {
+            Ok(config) if config.version > known.index.config().version => {
+                log::info!(target: "sardinepaddle", version = config.version,
+                    routes = config.routes.len(), source; "config in force");
+                known.index = rc::Rc::new(routes::RouteIndex::new(config));
+            }
+            Ok(config) => {
+                log::info!(target: "sardinepaddle", version = config.version, source;
+                    "config passed over: not newer");
+            }
+            Err(error) => {
+                log::warn!(target: "sardinepaddle", error:% = error, source;
+                    "config unreadable: the last one stays in force");
+            }
+        }
+    }
+
+    fn decode_endpoints(&self, source: &str) {
+        let mut known = self.known.borrow_mut();
+        let mut endpoints = map::HashMap::default();
+        for object in known.replica.present(catalog::ObjectKind::Endpoints as u8) {
+            let spec = object.spec.as_deref().unwrap_or_default();
+            match catalog::read_endpoint(&object.name, spec) {
+                Ok(live) => {
+                    endpoints.insert(live.id.clone(), live);
+                }
+                Err(error) => {
+                    log::warn!(target: "sardinepaddle", endpoint = object.name, error:% = error;
+                        "endpoint entry skipped");
+                }
+            }
+        }
+        for (id, live) in &endpoints {
+            let before: Option<&serving::LiveEndpoint> = known.endpoints.get(id);
+            if before.is_none_or(|before| before != live) {
+                log::info!(target: "sardinepaddle", endpoint:% = id, address:% = live.address,
+                    centre:% = live.centre, leaving:% = live.leaving, source; "endpoint listed");
+            }
+        }
+        for id in known.endpoints.keys() {
+            if !endpoints.contains_key(id) {
+                log::info!(target: "sardinepaddle", endpoint:% = id, source; "endpoint gone");
+            }
+        }
+        known.endpoints = endpoints;
+    }
+
+    fn decode_emptied(&self, source: &str) {
+        let mut known = self.known.borrow_mut();
+        let names = known.replica.names(catalog::ObjectKind::Emptied as u8);
+        known.emptied = names.iter().map(|name| ids::CentreId::new(name)).collect();
+        let names = names.join(",");
+        log::info!(target: "sardinepaddle", emptied = names, source; "data centres out of service");
+    }
+
+    fn decode_daemons(&self, source: &str) {
+        let known = self.known.borrow();
+        let objects = known.replica.present(catalog::ObjectKind::Daemons as u8);
+        let mut daemons = Vec::new();
+        for object in objects {
+            match catalog::read_daemon(object.spec.as_deref().unwrap_or_default()) {
+                Ok(daemon) => daemons.push(daemon),
+                Err(error) => {
+                    log::warn!(target: "sardinepaddle", daemon = object.name, error:% = error;
+                        "daemon entry skipped");
+                }
+            }
+        }
+        log::info!(target: "sardinepaddle", daemons = daemons.len(), source; "daemons listed");
+        self.rank.borrow_mut().set(&daemons);
+        self.share_budget();
+    }
+
+    fn refresh_placer(&self) {
+        let known = self.known.borrow();
+        let mut placer = self.placer.borrow_mut();
+        placer.set_services(&known.index.config().services);
+        let listed: Vec<serving::LiveEndpoint> = known.endpoints.values().cloned().collect();
+        placer.set_endpoints(self.now(), &listed, &known.emptied);
+    }
+
+    /// Whether an endpoint may get new work, by what is known here.
+    pub fn takes_work(&self, id: &ids::EndpointId) -> bool {
+        let known = self.known.borrow();
+        let live = known.endpoints.get(id);
+        live.is_some_and(|live| !live.leaving && !known.emptied.contains(&live.centre))
+    }
+
+    /// Draws an id for an attempt.
+    pub fn new_job(&self) -> job::JobId {
+        let number = self.next_job.get() + 1;
+        self.next_job.set(number);
+        job::JobId {
+            life: self.life,
+            number,
+        }
+    }
+
+    /// Looks for a place for an attempt of this daemon.
+    pub async fn place(&self, job: job::JobId, ask: job::PlaceAsk) -> Option<job::PlaceVerdict> {
+        let (sender, receiver) = oneshot::channel();
+        let remote = self.send_remote(message::LinkMessage::Ask {
+            job,
+            ask: ask.clone(),
+        });
+        let pending = PendingAsk {
+            ask: ask.clone(),
+            asked_at: self.now(),
+            remote,
+            queued: false,
+            verdict: sender,
+        };
+        self.pending.borrow_mut().insert(job, pending);
+        if !remote {
+            self.placer.borrow_mut().ask(self.now(), job, ask);
+            self.pass_verdicts();
+        }
+        receiver.await.ok()
+    }
+
+    /// Whether a role other than this daemon's own got a message.
+    fn send_remote(&self, message: message::LinkMessage) -> bool {
+        match &*self.role.borrow() {
+            PlacerRole::Own => false,
+            PlacerRole::Remote { sender, .. } => sender.send(message).is_ok(),
+        }
+    }
+
+    /// An attempt of this daemon is over.
+    pub fn end_job(&self, job: job::JobId, end: job::JobEnd) {
+        self.pending.borrow_mut().remove(&job);
+        self.running.borrow_mut().remove(&job);
+        self.placer.borrow_mut().end(self.now(), job, &end);
+        self.send_remote(message::LinkMessage::End { job, end });
+        self.tick();
+    }
+
+    /// An attempt of this daemon is not wanted any more.
+    pub fn withdraw_job(&self, job: job::JobId) {
+        self.pending.borrow_mut().remove(&job);
+        self.running.borrow_mut().remove(&job);
+        self.placer.borrow_mut().withdraw(self.now(), job);
+        self.send_remote(message::LinkMessage::Withdraw { job });
+        self.tick();
+    }
+
+    /// The first event of an attempt of this daemon came.
+    pub fn start_job(&self, job: job::JobId) {
+        if let Some(running) = self.running.borrow_mut().get_mut(&job) {
+            running.started = true;
+        }
+        self.placer.borrow_mut().first_event(self.now(), job);
+        self.send_remote(message::LinkMessage::FirstEvent { job });
+    }
+
+    /// Time has passed.
+    pub fn tick(&self) {
+        let waits = self.placer.borrow().waiting() > 0;
+        if waits {
+            self.placer.borrow_mut().tick(self.now());
+            self.pass_verdicts();
+        }
+        self.reroute_unanswered();
+    }
+
+    /// Clears what was forgotten; for a slow pace.
+    pub fn sweep(&self) {
+        self.placer.borrow_mut().tick(self.now());
+        self.pass_verdicts();
+    }
+
+    fn reroute_unanswered(&self) {
+        let since = self.now() - ASK_PATIENCE_MS;
+        let lost: Vec<job::JobId> = self
+            .pending
+            .borrow()
+            .iter()
+            .filter(|(_, ask)| ask.remote && !ask.queued && ask.asked_at < since)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in lost {
+            log::warn!(target: "sardinepaddle", job = job.number; "no word of the placing daemon: placed here");
+            self.send_remote(message::LinkMessage::Withdraw { job });
+            self.place_here(job);
+        }
+    }
+
+    fn place_here(&self, job: job::JobId) {
+        let ask = {
+            let mut pending = self.pending.borrow_mut();
+            let Some(entry) = pending.get_mut(&job) else {
+                return;
+            };
+            entry.remote = false;
+            let passed = self.now() - entry.asked_at;
+            let mut ask = entry.ask.clone();
+            ask.objective_ms -= passed;
+            ask.left_ms -= passed;
+            ask
+        };
+        self.placer.borrow_mut().ask(self.now(), job, ask);
+        self.pass_verdicts();
+    }
+
+    /// Gives out what the own placer decided.
+    fn pass_verdicts(&self) {
+        let verdicts = self.placer.borrow_mut().take_verdicts();
+        for (job, verdict) in verdicts {
+            if job.life == self.life {
+                self.resolve(job, verdict);
+                continue;
+            }
+            let followers = self.followers.borrow();
+            let sender = followers.get(&job.life);
+            let message = message::LinkMessage::Verdict { job, verdict };
+            if sender.is_none_or(|sender| sender.send(message).is_err()) {
+                log::info!(target: "sardinepaddle", job = job.number, life = job.life;
+                    "verdict dropped: its daemon is not connected");
+            }
+        }
+    }
+
+    fn resolve(&self, job: job::JobId, verdict: job::PlaceVerdict) {
+        let Some(pending) = self.pending.borrow_mut().remove(&job) else {
+            // The verdict crossed the end of its request: what it holds is given back.
+            self.send_remote(message::LinkMessage::Withdraw { job });
+            return;
+        };
+        if let job::PlaceVerdict::Placed(plan) = &verdict {
+            let running = job::RunningJob {
+                job,
+                ask: pending.ask,
+                plan: plan.clone(),
+                started: false,
+            };
+            if pending.remote {
+                // Known here too, for when this daemon has to place by itself.
+                self.placer.borrow_mut().adopt(self.now(), &running);
+            }
+            self.running.borrow_mut().insert(job, running);
+        }
+        if pending.verdict.send(verdict).is_err() {
+            self.withdraw_job(job);
+        }
+    }
+
+    /// Takes on another role; asks that were with the earlier one go to the new one.
+    pub fn set_role(&self, role: PlacerRole) {
+        let name = match &role {
+            PlacerRole::Own => self.settings().host.to_string(),
+            PlacerRole::Remote { host, .. } => host.to_string(),
+        };
+        let waiting = self.pending.borrow().len();
+        log::info!(target: "sardinepaddle", placer = name, waiting; "placing daemon chosen");
+        *self.role.borrow_mut() = role;
+        let running: Vec<job::RunningJob> = self.running.borrow().values().cloned().collect();
+        self.send_remote(message::LinkMessage::Running(running));
+        let jobs: Vec<job::JobId> = self.pending.borrow().keys().copied().collect();
+        for job in jobs {
+            self.move_ask(job);
+        }
+    }
+
+    fn move_ask(&self, job: job::JobId) {
+        let (ask, was_remote) = {
+            let pending = self.pending.borrow();
+            let Some(entry) = pending.get(&job) else {
+                return;
+            };
+            (entry.ask.clone(), entry.remote)
+        };
+        if !was_remote {
+            return;
+        }
+        if !self.send_remote(message::LinkMessage::Ask { job, ask }) {
+            self.place_here(job);
+            return;
+        }
+        if let Some(entry) = self.pending.borrow_mut().get_mut(&job) {
+            entry.queued = false;
+            entry.asked_at = self.now();
+        }
+    }
+
+    /// A message came from the daemon that places for this one.
+    pub fn on_placer_message(&self, message: message::LinkMessage) {
+        match message {
+            message::LinkMessage::Queued { job } => {
+                if let Some(entry) = self.pending.borrow_mut().get_mut(&job) {
+                    entry.queued = true;
+                }
+            }
+            message::LinkMessage::Verdict { job, verdict } => self.resolve(job, verdict),
+            _ => {}
+        }
+    }
+
+    /// A daemon connected to have its requests placed here.
+    pub fn add_follower(&self, life: u64, sender: mpsc::UnboundedSender<message::LinkMessage>) {
+        self.followers.borrow_mut().insert(life, sender);
+        self.share_budget();
+    }
+
+    fn share_budget(&self) {
+        let daemons = self.rank.borrow().daemons().len().max(1) as f64;
+        let alone = self.followers.borrow().is_empty();
+        let share = if alone {
+            ALONE_SHARE / daemons
+        } else {
+            REPEAT_SHARE
+        };
+        self.placer.borrow_mut().set_repeat_share(share);
+    }
+
+    /// The connection of such a daemon is over.
+    pub fn drop_follower(&self, life: u64) {
+        self.followers.borrow_mut().remove(&life);
+        self.share_budget();
+        self.placer.borrow_mut().withdraw_life(self.now(), life);
+        self.sweep();
+    }
+
+    /// A message came from a daemon whose requests this one places.
+    pub fn on_follower_message(&self, life: u64, message: message::LinkMessage) {
+        let now = self.now();
+        match message {
+            message::LinkMessage::Running(jobs) => {
+                let mut placer = self.placer.borrow_mut();
+                for running in jobs {
+                    placer.adopt(now, &running);
+                }
+            }
+            message::LinkMessage::Ask { job, ask } => {
+                self.placer.borrow_mut().ask(now, job, ask);
+                let waits = !self.placer.borrow().has_verdict(job);
+                self.pass_verdicts();
+                let followers = self.followers.borrow();
+                if let Some(sender) = followers.get(&life).filter(|_| waits) {
+                    // A follower that is gone takes its asks along.
+                    let _ = sender.send(message::LinkMessage::Queued { job });
+                }
+            }
+            message::LinkMessage::Withdraw { job } => {
+                self.placer.borrow_mut().withdraw(now, job);
+                self.tick();
+            }
+            message::LinkMessage::FirstEvent { job } => {
+                self.placer.borrow_mut().first_event(now, job);
+            }
+            message::LinkMessage::End { job, end } => {
+                self.placer.borrow_mut().end(now, job, &end);
+                self.tick();
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod request;
+pub mod serving;
 pub mod store;
 pub mod time;
--- a/crates/platform/src/traffic.rs
+++ b/crates/objects/src/traffic.rs
@@ -65,7 +65,7 @@
     ///
     /// ```
     /// use std::sync::atomic::Ordering;
-    /// use sardinepaddle_platform::traffic::{CallKind, PlatformTraffic};
+    /// use sardinepaddle_objects::traffic::{CallKind, PlatformTraffic};
     /// let traffic = PlatformTraffic::default();
     /// assert_eq!(traffic.of(CallKind::Hosts).calls.load(Ordering::Relaxed), 0);
     /// ```
--- a/crates/platform/src/writer.rs
+++ b/crates/objects/src/writer.rs
@@ -246,7 +246,7 @@
 /// ```
 /// use model::config;
 /// use model::ids;
-/// use sardinepaddle_platform::writer;
+/// use sardinepaddle_objects::writer;
 /// let before = config::FleetConfig::default();
 /// let mut after = before.clone();
 /// after.customers.insert(ids::CustomerId::new("a"), config::CustomerEntry::default());
--- /dev/null
+++ b/crates/pool/src/budget.rs
@@ -0,0 +1,59 @@
+//! Bounds how often requests are sent once more.
+
+use std::collections;
+
+/// Counts requests and repeats of one service over a sliding window.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    ratio: f64,
+    extra: f64,
+    window_ms: f64,
+    requests: collections::VecDeque<f64>,
+    repeats: collections::VecDeque<f64>,
+}
+
+impl RetryBudget {
+    /// A budget of `ratio` times the requests of a window, and `extra` more.
+    ///
+    /// ```
+    /// let mut budget = sardinepaddle_pool::budget::RetryBudget::new(0.2, 1.0, 10_000.0);
+    /// assert!(budget.try_repeat(0.0, 1.0));
+    /// assert!(!budget.try_repeat(1.0, 1.0));
+    /// assert!(budget.try_repeat(10_002.0, 1.0));
+    /// ```
+    pub fn new(ratio: f64, extra: f64, window_ms: f64) -> Self {
+        Self {
+            ratio,
+            extra,
+            window_ms,
+            requests: collections::VecDeque::new(),
+            repeats: collections::VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: f64) {
+        self.forget(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes a repeat out of a share of the budget, if there is one left.
+    pub fn try_repeat(&mut self, now: f64, share: f64) -> bool {
+        self.forget(now);
+        let allowed = share * (self.ratio * self.requests.len() as f64 + self.extra);
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, now: f64) {
+        let since = now - self.window_ms;
+        for queue in [&mut self.requests, &mut self.repeats] {
+            while queue.front().is_some_and(|at| *at < since) {
+                queue.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/placer.rs
@@ -0,0 +1,864 @@
+//! Places requests on the endpoints of all services, jointly for all daemons.
+//!
+//! For each request the placer predicts, from the engines' figures and the work that it has
+//! placed before, when its first event would come on each set of endpoints, and what the other
+//! requests there would lose by it. It takes the set with the greatest gain. What gains more
+//! later waits; what gains nothing any more is declined at once.
+
+use std::collections;
+use std::sync;
+
+use model::ids;
+use model::map;
+use model::serving;
+
+use crate::budget;
+use crate::engine;
+use crate::job;
+use crate::trouble;
+use crate::value;
+
+/// Numbers of engines over which the reading of a prompt may be spread; the last is the most
+/// that the platform takes.
+const SPREADS: [usize; 10] = [1, 2, 3, 4, 6, 8, 10, 12, 14, 17];
+/// Least tokens of a part, so that a helper saves more than it costs: two steps.
+const LEAST_PART_TOKENS: u64 = 4_096;
+/// Time on the network and in daemons between a caller and an endpoint, both ways, ms.
+const NETWORK_MS: f64 = 12.0;
+/// Price of a ms of an idle engine, in units of a short prompt's worth.
+const IDLE_PRICE: f64 = 0.0005;
+/// Mean backlog at which the price has doubled, ms: a fifth of the tightest objective.
+const PRICE_BACKLOG_MS: f64 = 60.0;
+/// Share of a request's worth that a place must gain to be taken while there is time to wait.
+const ACCEPTED_GAIN: f64 = 0.6;
+/// Share of the objective by which a prediction may be off.
+const UNCERTAINTY: f64 = 0.12;
+/// Share of an engine's memory that is given out; the rest covers answers longer than guessed.
+const MEMORY_SHARE: f64 = 0.95;
+/// Tokens set aside beyond the prompt's part, for rounding to blocks.
+const RESERVE_MARGIN: u64 = 64;
+/// Most endpoints that hold memory for one prompt.
+const MOST_HOLDERS: usize = 4;
+/// Share of the cold rate that is given out, as senders differ in when a send arrives.
+const COLD_SHARE: f64 = 0.7;
+/// Share of the objective for which late work may wait for a place.
+const LATE_WAIT: f64 = 0.5;
+/// Shortest and longest advice on when to come back, ms.
+const RETRY_AFTER_MS: (u64, u64) = (400, 1_600);
+/// Time of a plain call until one has been seen, ms.
+const FIRST_CALL_MS: f64 = 30.0;
+/// Weight of the newest call in the mean time of calls.
+const CALL_WEIGHT: f64 = 0.05;
+/// Requests per slot up to which a plain service's own queue is used.
+const CALL_CROWDING: f64 = 2.0;
+/// Price of sending to another data centre, units of worth; settles ties.
+const CROSS_CENTRE_PRICE: f64 = 0.004;
+/// Time after which a job that its daemon no longer speaks of is forgotten, ms beyond its deadline.
+const FORGET_MS: f64 = 5_000.0;
+
+/// Limits that the deployment sets.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacerBounds {
+    /// Repeats per request.
+    pub retry_ratio: f64,
+    /// Repeats beyond, in one window.
+    pub retry_extra: f64,
+    /// The window, ms.
+    pub retry_window_ms: f64,
+    /// Times the cold rate that an endpoint bears.
+    pub cold_factor: f64,
+    /// Requests a second that it bears beyond.
+    pub cold_extra: f64,
+}
+
+#[derive(Clone, Debug)]
+struct EndpointState {
+    live: serving::LiveEndpoint,
+    listed: bool,
+    closed: bool,
+    /// When all reading that was placed here is done.
+    read_free_at: f64,
+    memory_used: u64,
+    jobs: Vec<job::JobId>,
+    trouble: trouble::TroubleScore,
+    sends: collections::VecDeque<f64>,
+}
+
+#[derive(Clone, Debug)]
+struct MemberShare {
+    endpoint: ids::EndpointId,
+    read_ms: f64,
+    read_until: f64,
+    memory: u64,
+}
+
+#[derive(Clone, Debug)]
+struct PlacedJob {
+    service: ids::ServiceId,
+    shape: job::JobShape,
+    value: f64,
+    placed_at: f64,
+    objective_at: f64,
+    pause_ms: f64,
+    gone_at: f64,
+    first_event_at: f64,
+    started: bool,
+    context: u64,
+    members: Vec<MemberShare>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingAsk {
+    job: job::JobId,
+    ask: job::PlaceAsk,
+    value: f64,
+    objective_at: f64,
+    gone_at: f64,
+    /// Time to the first event on idle endpoints, ms.
+    best_ms: f64,
+}
+
+#[derive(Clone, Debug)]
+struct PlanChoice {
+    plan: job::PlacePlan,
+    shares: Vec<MemberShare>,
+    gain: f64,
+}
+
+/// State of the pool and the decisions on it.
+#[derive(Clone, Debug)]
+pub struct JobPlacer {
+    bounds: PlacerBounds,
+    services: map::HashMap<ids::ServiceId, sync::Arc<serving::ServiceProfile>>,
+    endpoints: collections::BTreeMap<ids::EndpointId, EndpointState>,
+    jobs: map::HashMap<job::JobId, PlacedJob>,
+    waiting: Vec<WaitingAsk>,
+    values: value::KindValues,
+    budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
+    call_ms: map::HashMap<ids::ServiceId, f64>,
+    repeat_share: f64,
+    verdicts: Vec<(job::JobId, job::PlaceVerdict)>,
+}
+
+impl JobPlacer {
+    /// A placer that knows no endpoint yet.
+    pub fn new(bounds: PlacerBounds) -> Self {
+        Self {
+            bounds,
+            services: map::HashMap::default(),
+            endpoints: collections::BTreeMap::new(),
+            jobs: map::HashMap::default(),
+            waiting: Vec::new(),
+            values: value::KindValues::default(),
+            budgets: map::HashMap::default(),
+            call_ms: map::HashMap::default(),
+            repeat_share: 1.0,
+            verdicts: Vec::new(),
+        }
+    }
+
+    /// Sets the share of the deployment's budget for repeats that is given out here.
+    pub fn set_repeat_share(&mut self, share: f64) {
+        self.repeat_share = share;
+    }
+
+    /// Takes the services of a configuration.
+    pub fn set_services(
+        &mut self,
+        services: &map::HashMap<ids::ServiceId, sync::Arc<serving::ServiceProfile>>,
+    ) {
+        self.services.clone_from(services);
+    }
+
+    /// Takes the endpoints listed now and the data centres that are to get nothing.
+    pub fn set_endpoints(
+        &mut self,
+        now: f64,
+        listed: &[serving::LiveEndpoint],
+        closed: &[ids::CentreId],
+    ) {
+        for state in self.endpoints.values_mut() {
+            state.listed = false;
+        }
+        for live in listed {
+            let state = self.endpoints.entry(live.id.clone());
+            let state = state.or_insert_with(|| EndpointState::new(live.clone(), now));
+            if state.live.born_ms != live.born_ms {
+                // A new life under the same id holds nothing of before.
+                *state = EndpointState::new(live.clone(), now);
+            }
+            state.live = live.clone();
+            state.listed = true;
+            state.closed = closed.contains(&live.centre);
+        }
+        self.endpoints
+            .retain(|_, state| state.listed || !state.jobs.is_empty());
+    }
+
+    /// Looks for a place; the verdict comes with [`Self::take_verdicts`], at once or later.
+    pub fn ask(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) {
+        let budget = self.budgets.entry(ask.service.clone()).or_insert_with(|| {
+            let bounds = &self.bounds;
+            budget::RetryBudget::new(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_ms,
+            )
+        });
+        if ask.repeat {
+            if !budget.try_repeat(now, self.repeat_share) {
+                self.decline(job, job::DeclineReason::RetryBudget);
+                return;
+            }
+        } else {
+            budget.request(now);
+        }
+        let value = match ask.shape {
+            job::JobShape::Prompt { tokens, .. } => {
+                let answer = answer_tokens(&ask.shape);
+                self.values.value(&ask.route, tokens, answer)
+            }
+            job::JobShape::Call => value::CALL_VALUE,
+        };
+        let best_ms = self.best_ms(&ask);
+        let waiting = WaitingAsk {
+            job,
+            value,
+            objective_at: now + ask.objective_ms,
+            gone_at: now + ask.left_ms,
+            best_ms,
+            ask,
+        };
+        if !self.settle(now, &waiting) {
+            self.waiting.push(waiting);
+        }
+    }
+
+    /// The caller of a request went away, or its daemon did.
+    pub fn withdraw(&mut self, now: f64, job: job::JobId) {
+        self.waiting.retain(|waiting| waiting.job != job);
+        let end = job::JobEnd {
+            sign: trouble::EndpointSign::Nothing,
+            at_fault: None,
+        };
+        self.end(now, job, &end);
+    }
+
+    /// Everything of a daemon's earlier life is over.
+    pub fn withdraw_life(&mut self, now: f64, life: u64) {
+        let jobs = self.jobs.keys().chain(self.waiting.iter().map(|w| &w.job));
+        let gone: Vec<job::JobId> = jobs.filter(|job| job.life == life).copied().collect();
+        for job in gone {
+            self.withdraw(now, job);
+        }
+    }
+
+    /// Takes over a job that another placer placed.
+    pub fn adopt(&mut self, now: f64, running: &job::RunningJob) {
+        if self.jobs.contains_key(&running.job) {
+            return;
+        }
+        let ask = &running.ask;
+        let shares = self.shares(now, ask, &running.plan);
+        let value = value::CALL_VALUE;
+        let waiting = WaitingAsk {
+            job: running.job,
+            ask: ask.clone(),
+            value,
+            objective_at: now + ask.objective_ms,
+            gone_at: now + ask.left_ms,
+            best_ms: 0.0,
+        };
+        self.place(now, &waiting, shares, running.plan.predicted_ms);
+        if running.started {
+            self.first_event(now, running.job);
+        }
+    }
+
+    /// The first event of a job came.
+    pub fn first_event(&mut self, now: f64, id: job::JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.started = true;
+        for share in &mut job.members {
+            let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
+                continue;
+            };
+            // Reading went faster than predicted: what follows it here comes earlier too.
+            let early = (share.read_until - now).max(0.0);
+            state.read_free_at -= early.min((state.read_free_at - now).max(0.0));
+            share.read_until = share.read_until.min(now);
+        }
+    }
+
+    /// A job is over.
+    pub fn end(&mut self, now: f64, id: job::JobId, end: &job::JobEnd) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        for (position, share) in job.members.iter().enumerate() {
+            let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
+                continue;
+            };
+            state.jobs.retain(|other| *other != id);
+            state.memory_used = state.memory_used.saturating_sub(share.memory);
+            let unread = (share.read_until - now).clamp(0.0, share.read_ms);
+            state.read_free_at -= unread;
+            let at_fault = match &end.at_fault {
+                Some(endpoint) => *endpoint == share.endpoint,
+                None => position == 0,
+            };
+            if at_fault {
+                state.trouble.note(now, end.sign);
+            }
+        }
+        if job.shape == job::JobShape::Call && end.sign == trouble::EndpointSign::Good {
+            let mean = self.call_ms.entry(job.service).or_insert(FIRST_CALL_MS);
+            *mean += CALL_WEIGHT * (now - job.placed_at - *mean);
+        }
+    }
+
+    /// Time has passed: looks again at what waits.
+    pub fn tick(&mut self, now: f64) {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        // What is worth most for the time that it takes goes first.
+        let density = |ask: &WaitingAsk| ask.value / ask.best_ms.max(1.0);
+        waiting.sort_by(|a, b| density(b).total_cmp(&density(a)));
+        for ask in waiting {
+            if !self.settle(now, &ask) {
+                self.waiting.push(ask);
+            }
+        }
+        let forgotten: Vec<job::JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| now > job.gone_at + FORGET_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for job in forgotten {
+            self.withdraw(now, job);
+        }
+        self.endpoints
+            .retain(|_, state| state.listed || !state.jobs.is_empty());
+    }
+
+    /// Verdicts since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<(job::JobId, job::PlaceVerdict)> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// Whether a verdict on a job is to be taken.
+    pub fn has_verdict(&self, job: job::JobId) -> bool {
+        self.verdicts.iter().any(|(other, _)| *other == job)
+    }
+
+    /// Requests that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests placed and not over.
+    pub fn running(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Decides on a request now; `false` if it is to wait.
+    fn settle(&mut self, now: f64, waiting: &WaitingAsk) -> bool {
+        let choice = match self.choose(now, waiting) {
+            Ok(choice) => choice,
+            Err(reason) => {
+                self.decline(waiting.job, reason);
+                return true;
+            }
+        };
+        let slack = waiting.objective_at - now - waiting.best_ms;
+        let worth_it = |choice: &PlanChoice| {
+            let floor = if slack > 0.0 {
+                ACCEPTED_GAIN * waiting.value
+            } else {
+                0.0
+            };
+            choice.gain > floor
+        };
+        if let Some(choice) = choice.filter(worth_it) {
+            let predicted = choice.plan.predicted_ms;
+            self.place(now, waiting, choice.shares, predicted);
+            let verdict = job::PlaceVerdict::Placed(choice.plan);
+            self.verdicts.push((waiting.job, verdict));
+            return true;
+        }
+        let late_until = waiting.objective_at + LATE_WAIT * waiting.ask.full_objective_ms;
+        let hopeless = now + waiting.best_ms > late_until.min(waiting.gone_at);
+        if hopeless {
+            self.decline(waiting.job, job::DeclineReason::Overloaded);
+        }
+        hopeless
+    }
+
+    fn decline(&mut self, job: job::JobId, reason: job::DeclineReason) {
+        let (shortest, longest) = RETRY_AFTER_MS;
+        // Callers that were declined together come back apart.
+        let spread = job.number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let retry_after_ms = shortest + spread % (longest - shortest);
+        let verdict = job::PlaceVerdict::Declined {
+            reason,
+            retry_after_ms,
+        };
+        self.verdicts.push((job, verdict));
+    }
+
+    fn best_ms(&self, ask: &job::PlaceAsk) -> f64 {
+        let engine = self.services.get(&ask.service);
+        let engine = engine.and_then(|profile| profile.engine.as_ref());
+        match (ask.shape, engine) {
+            (job::JobShape::Prompt { tokens, .. }, Some(profile)) => {
+                let open = self.open(&ask.service).count().max(1);
+                let spread = most_members(tokens).min(open);
+                engine::read_ms(profile, tokens, spread)
+                    + engine::pass_ms(profile, 1, 0)
+                    + NETWORK_MS
+            }
+            _ => self.mean_call_ms(&ask.service) + NETWORK_MS,
+        }
+    }
+
+    fn mean_call_ms(&self, service: &ids::ServiceId) -> f64 {
+        self.call_ms.get(service).copied().unwrap_or(FIRST_CALL_MS)
+    }
+
+    fn open<'a>(
+        &'a self,
+        service: &'a ids::ServiceId,
+    ) -> impl Iterator<Item = (&'a ids::EndpointId, &'a EndpointState)> {
+        let endpoints = self.endpoints.iter();
+        endpoints.filter(move |(_, state)| state.takes_work() && state.live.service == *service)
+    }
+
+    fn choose(
+        &self,
+        now: f64,
+        waiting: &WaitingAsk,
+    ) -> Result<Option<PlanChoice>, job::DeclineReason> {
+        let ask = &waiting.ask;
+        let profile = self.services.get(&ask.service);
+        let engine = profile.and_then(|profile| profile.engine.as_ref());
+        let cold_limit = profile.map_or(f64::MAX, |profile| self.send_limit(profile));
+        let open: Vec<&EndpointState> = self.open(&ask.service).map(|(_, state)| state).collect();
+        if open.is_empty() {
+            return Err(job::DeclineReason::NoEndpoint);
+        }
+        let usable: Vec<&EndpointState> = open
+            .iter()
+            .copied()
+            .filter(|state| !ask.avoid.contains(&state.live.id))
+            .filter(|state| !state.trouble.avoided(now))
+            .filter(|state| state.sends_since(now - 1_000.0) + 1.0 <= cold_limit)
+            .collect();
+        match (ask.shape, engine) {
+            (job::JobShape::Prompt { tokens, .. }, Some(engine)) => {
+                let memory = (engine.memory_tokens as f64 * MEMORY_SHARE) as u64;
+                let holders = open.len().min(MOST_HOLDERS + 1) as u64;
+                if tokens + answer_tokens(&ask.shape) > memory * holders {
+                    return Err(job::DeclineReason::TooLarge);
+                }
+                Ok(self.choose_engines(now, waiting, engine, &usable))
+            }
+            _ => Ok(self.choose_call(now, waiting, &usable)),
+        }
+    }
+
+    /// Requests a second that one endpoint gets, also while it is not known to be cold.
+    fn send_limit(&self, profile: &serving::ServiceProfile) -> f64 {
+        if profile.cold_rate <= 0.0 {
+            return f64::MAX;
+        }
+        let bound = profile.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
+        (bound * COLD_SHARE).max(1.0)
+    }
+
+    fn choose_call(
+        &self,
+        now: f64,
+        waiting: &WaitingAsk,
+        usable: &[&EndpointState],
+    ) -> Option<PlanChoice> {
+        let mean = self.mean_call_ms(&waiting.ask.service);
+        let crowding =
+            |state: &EndpointState| (state.jobs.len() as f64 + 1.0) / f64::from(state.live.slots);
+        let cost = |state: &EndpointState| {
+            let away = state.live.centre != waiting.ask.centre;
+            let wait = (crowding(state) - 1.0).max(0.0) * mean;
+            let objective = waiting.ask.full_objective_ms.max(1.0);
+            let lost = state.trouble.share(now) + wait / objective + 0.02 * crowding(state);
+            lost + if away { CROSS_CENTRE_PRICE } else { 0.0 }
+        };
+        let slack = waiting.objective_at - now - mean - NETWORK_MS;
+        let most = if slack > 0.0 { 1.0 } else { CALL_CROWDING };
+        let fitting = usable.iter().filter(|state| crowding(state) <= most);
+        let state = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let plan = job::PlacePlan {
+            first: state.member(0),
+            helpers: Vec::new(),
+            predicted_ms: (crowding(state) - 1.0).max(0.0) * mean + mean + NETWORK_MS,
+            priority: waiting.ask.priority.min(9),
+        };
+        let shares = vec![MemberShare {
+            endpoint: state.live.id.clone(),
+            read_ms: 0.0,
+            read_until: now,
+            memory: 0,
+        }];
+        Some(PlanChoice {
+            plan,
+            shares,
+            gain: waiting.value,
+        })
+    }
+
+    fn choose_engines(
+        &self,
+        now: f64,
+        waiting: &WaitingAsk,
+        profile: &serving::EngineProfile,
+        usable: &[&EndpointState],
+    ) -> Option<PlanChoice> {
+        let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
+            return None;
+        };
+        let price = self.price(now, &waiting.ask.service);
+        let most = most_members(tokens).min(usable.len());
+        let loads: Vec<EngineLoad<'_>> = usable
+            .iter()
+            .map(|state| self.engine_load(now, state, profile))
+            .collect();
+        let spreads = SPREADS.iter().filter(|spread| **spread <= most);
+        let choices = spreads
+            .filter_map(|spread| self.choose_spread(now, waiting, profile, &loads, price, *spread));
+        choices.max_by(|a, b| a.gain.total_cmp(&b.gain))
+    }
+
+    /// Price of a ms of engine time: it rises with the backlog.
+    fn price(&self, now: f64, service: &ids::ServiceId) -> f64 {
+        let mut backlog = 0.0;
+        let mut count = 0.0;
+        for (_, state) in self.open(service) {
+            backlog += (state.read_free_at - now).max(0.0);
+            count += 1.0;
+        }
+        let mean: f64 = if count > 0.0 { backlog / count } else { 0.0 };
+        IDLE_PRICE * (1.0 + (mean / PRICE_BACKLOG_MS).powi(2))
+    }
+
+    fn engine_load<'a>(
+        &self,
+        now: f64,
+        state: &'a EndpointState,
+        profile: &serving::EngineProfile,
+    ) -> EngineLoad<'a> {
+        let mut load = EngineLoad {
+            state,
+            backlog_ms: (state.read_free_at - now).max(0.0),
+            pass_ms: 0.0,
+            generating: Vec::new(),
+            reading: Vec::new(),
+            first_here: 0,
+        };
+        let mut context = 0;
+        for id in &state.jobs {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let here = job.members.first();
+            let first = here.is_some_and(|share| share.endpoint == state.live.id);
+            if first {
+                load.first_here += 1;
+                context += job.context;
+                let late = value::LATE_SHARE;
+                if job.started || now >= job.first_event_at {
+                    load.generating
+                        .push((job.pause_ms, job.value * (1.0 - late)));
+                }
+            }
+            if !job.started {
+                let spare = job.objective_at - job.first_event_at.max(now);
+                load.reading
+                    .push((spare, job.value * (1.0 - value::LATE_SHARE)));
+            }
+        }
+        load.pass_ms = engine::pass_ms(profile, load.generating.len() + 1, context);
+        load
+    }
+
+    fn choose_spread(
+        &self,
+        now: f64,
+        waiting: &WaitingAsk,
+        profile: &serving::EngineProfile,
+        loads: &[EngineLoad<'_>],
+        price: f64,
+        spread: usize,
+    ) -> Option<PlanChoice> {
+        let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
+            return None;
+        };
+        let answer = answer_tokens(&waiting.ask.shape);
+        let read_ms = engine::read_ms(profile, tokens, spread);
+        let most_read = engine::most_read_ms(profile);
+        let left = (waiting.objective_at - now).max(100.0);
+        let wait_price = waiting.value / left;
+        let mut ranked: Vec<(f64, &EngineLoad<'_>)> = loads
+            .iter()
+            .filter(|load| load.state.jobs.len() < load.state.live.slots as usize)
+            .map(|load| {
+                let harm = load.harm(read_ms, spread > 1, most_read);
+                let trouble = load.state.trouble.share(now) * waiting.value;
+                let away = load.state.live.centre != waiting.ask.centre;
+                let distance = if away { CROSS_CENTRE_PRICE } else { 0.0 };
+                let start = load.start_ms() * wait_price;
+                let crowd = 0.01 * load.first_here as f64;
+                (harm + trouble + distance + start + crowd, load)
+            })
+            .collect();
+        if ranked.len() < spread {
+            return None;
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.truncate(spread);
+        let room = |load: &EngineLoad<'_>| load.state.memory_free(profile);
+        let need = tokens + answer + RESERVE_MARGIN;
+        // The endpoint that gets the request also generates: the one with the shortest pass of
+        // those with room, or else the one with most room.
+        let fitting = ranked.iter().filter(|(_, load)| room(load) >= need);
+        let first = fitting
+            .min_by(|a, b| a.1.pass_ms.total_cmp(&b.1.pass_ms))
+            .or_else(|| ranked.iter().max_by_key(|(_, load)| room(load)))?;
+        let first = first.1;
+        let mut missing = need.saturating_sub(room(first));
+        let mut helpers: Vec<(&EngineLoad<'_>, u64)> = Vec::with_capacity(spread);
+        let mut others: Vec<&EngineLoad<'_>> = ranked.iter().map(|(_, load)| *load).collect();
+        others.retain(|load| load.state.live.id != first.state.live.id);
+        others.sort_by_key(|load| std::cmp::Reverse(room(load)));
+        for load in others {
+            let reserved = missing.min(room(load).saturating_sub(RESERVE_MARGIN));
+            missing -= reserved;
+            helpers.push((load, reserved));
+        }
+        let holders = helpers.iter().filter(|(_, reserved)| *reserved > 0).count();
+        if missing > 0 || holders > MOST_HOLDERS {
+            return None;
+        }
+
+        let start = ranked
+            .iter()
+            .map(|(_, load)| load.start_ms())
+            .fold(0.0, f64::max);
+        let predicted = start + read_ms + first.pass_ms + NETWORK_MS;
+        let shown = waiting.objective_at - now;
+        let mut gain = waiting.value * on_time_share(predicted, shown, waiting.gone_at - now);
+        let sum: f64 = ranked
+            .iter()
+            .map(|(_, load)| {
+                load.harm(read_ms, spread > 1, most_read)
+                    + load.state.trouble.share(now) * waiting.value / spread as f64
+            })
+            .sum();
+        gain -= sum + price * read_ms * spread as f64;
+
+        let share = |load: &EngineLoad<'_>, memory: u64| MemberShare {
+            endpoint: load.state.live.id.clone(),
+            read_ms,
+            read_until: now + load.start_ms() + read_ms,
+            memory,
+        };
+        let reserved: u64 = helpers.iter().map(|(_, reserved)| reserved).sum();
+        let mut shares = vec![share(first, need.saturating_sub(reserved))];
+        shares.extend(helpers.iter().map(|(load, memory)| share(load, *memory)));
+        let plan = job::PlacePlan {
+            first: first.state.member(0),
+            helpers: helpers
+                .iter()
+                .map(|(load, reserved)| load.state.member(*reserved))
+                .collect(),
+            predicted_ms: predicted,
+            priority: engine_priority(&waiting.ask),
+        };
+        Some(PlanChoice { plan, shares, gain })
+    }
+
+    /// Shares of a plan that another placer made.
+    fn shares(&self, now: f64, ask: &job::PlaceAsk, plan: &job::PlacePlan) -> Vec<MemberShare> {
+        let engine = self.services.get(&ask.service);
+        let engine = engine.and_then(|profile| profile.engine.as_ref());
+        let members = 1 + plan.helpers.len();
+        let (read_ms, need) = match (ask.shape, engine) {
+            (job::JobShape::Prompt { tokens, .. }, Some(profile)) => (
+                engine::read_ms(profile, tokens, members),
+                tokens + answer_tokens(&ask.shape) + RESERVE_MARGIN,
+            ),
+            _ => (0.0, 0),
+        };
+        let reserved: u64 = plan
+            .helpers
+            .iter()
+            .map(|helper| helper.reserve_tokens)
+            .sum();
+        let first = std::iter::once((&plan.first, need.saturating_sub(reserved)));
+        let helpers = plan.helpers.iter();
+        first
+            .chain(helpers.map(|helper| (helper, helper.reserve_tokens)))
+            .map(|(member, memory)| MemberShare {
+                endpoint: member.endpoint.clone(),
+                read_ms,
+                read_until: now + read_ms,
+                memory,
+            })
+            .collect()
+    }
+
+    fn place(&mut self, now: f64, waiting: &WaitingAsk, shares: Vec<MemberShare>, predicted: f64) {
+        for share in &shares {
+            let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
+                continue;
+            };
+            state.jobs.push(waiting.job);
+            state.memory_used += share.memory;
+            state.read_free_at = state.read_free_at.max(now) + share.read_ms;
+            state.sends.push_back(now);
+            while state.sends.front().is_some_and(|at| *at < now - 1_000.0) {
+                state.sends.pop_front();
+            }
+        }
+        let context = shares.first().map_or(0, |share| share.memory);
+        let job = PlacedJob {
+            service: waiting.ask.service.clone(),
+            shape: waiting.ask.shape,
+            value: waiting.value,
+            placed_at: now,
+            objective_at: waiting.objective_at,
+            pause_ms: waiting.ask.pause_ms,
+            gone_at: waiting.gone_at,
+            first_event_at: now + predicted - NETWORK_MS,
+            started: false,
+            context,
+            members: shares,
+        };
+        self.jobs.insert(waiting.job, job);
+    }
+}
+
+impl EndpointState {
+    fn new(live: serving::LiveEndpoint, now: f64) -> Self {
+        Self {
+            live,
+            listed: true,
+            closed: false,
+            read_free_at: now,
+            memory_used: 0,
+            jobs: Vec::new(),
+            trouble: trouble::TroubleScore::default(),
+            sends: collections::VecDeque::new(),
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.listed && !self.closed && !self.live.leaving
+    }
+
+    fn sends_since(&self, since: f64) -> f64 {
+        let recent = self.sends.iter().rev().take_while(|at| **at > since);
+        recent.count() as f64
+    }
+
+    fn memory_free(&self, profile: &serving::EngineProfile) -> u64 {
+        let given = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
+        given.saturating_sub(self.memory_used)
+    }
+
+    fn member(&self, reserve_tokens: u64) -> job::PlanMember {
+        job::PlanMember {
+            endpoint: self.live.id.clone(),
+            address: self.live.address,
+            reserve_tokens,
+        }
+    }
+}
+
+/// What one engine does at a moment.
+struct EngineLoad<'a> {
+    state: &'a EndpointState,
+    backlog_ms: f64,
+    pass_ms: f64,
+    /// Longest pause on time and what is lost beyond it, for each request that generates here.
+    generating: Vec<(f64, f64)>,
+    /// Time to spare and what is lost beyond it, for each request that is read here.
+    reading: Vec<(f64, f64)>,
+    /// Requests that this engine generates for, or will.
+    first_here: usize,
+}
+
+impl EngineLoad<'_> {
+    /// Time until something new is read here, ms.
+    fn start_ms(&self) -> f64 {
+        if self.generating.is_empty() {
+            self.backlog_ms
+        } else {
+            self.backlog_ms.max(self.pass_ms / 2.0)
+        }
+    }
+
+    /// What the requests here lose if `read_ms` of reading is added, ahead of theirs or not.
+    fn harm(&self, read_ms: f64, ahead: bool, most_read: f64) -> f64 {
+        let before = self.pass_ms + self.backlog_ms.min(most_read);
+        let after = self.pass_ms + (self.backlog_ms + read_ms).min(most_read);
+        let pauses = self
+            .generating
+            .iter()
+            .map(|(pause, loss)| (late_chance(after, *pause) - late_chance(before, *pause)) * loss);
+        let delays = self.reading.iter().map(|(spare, loss)| {
+            let delayed = ahead && *spare > 0.0 && *spare < read_ms;
+            if delayed { *loss } else { 0.0 }
+        });
+        pauses.sum::<f64>() + delays.sum::<f64>()
+    }
+}
+
+/// Chance that a pause is over its bound, from its prediction.
+fn late_chance(predicted: f64, bound: f64) -> f64 {
+    if bound <= 0.0 {
+        return 0.0;
+    }
+    let low = bound * (1.0 - 2.0 * UNCERTAINTY);
+    ((predicted - low) / (bound - low)).clamp(0.0, 1.0)
+}
+
+/// Share of a request's worth that it earns if its first event comes as predicted.
+fn on_time_share(predicted: f64, objective: f64, left: f64) -> f64 {
+    if predicted >= left {
+        return 0.0;
+    }
+    let late = late_chance(predicted, objective.max(1.0));
+    1.0 - late * (1.0 - value::LATE_SHARE)
+}
+
+fn most_members(tokens: u64) -> usize {
+    let most = usize::try_from(tokens / LEAST_PART_TOKENS).unwrap_or(1);
+    most.max(1)
+}
+
+fn answer_tokens(shape: &job::JobShape) -> u64 {
+    match shape {
+        job::JobShape::Prompt { answer_tokens, .. } => *answer_tokens,
+        job::JobShape::Call => 0,
+    }
+}
+
+/// Rank for an engine's own queue: tighter objectives go first.
+fn engine_priority(ask: &job::PlaceAsk) -> u8 {
+    let rank = match ask.full_objective_ms {
+        objective if objective <= 500.0 => 0,
+        objective if objective <= 2_000.0 => 2,
+        _ => 4,
+    };
+    rank + ask.priority.min(3)
+}
--- /dev/null
+++ b/crates/pool/src/rank.rs
@@ -0,0 +1,82 @@
+//! Which daemon places for all.
+
+use std::collections;
+
+use model::ids;
+use model::serving;
+use xxhash_rust::xxh3;
+
+/// Time for which a daemon that did not answer is passed over at first, ms: about a restart.
+const PASS_OVER_MS: f64 = 1_500.0;
+/// Longest time for which it is passed over, ms: a dead one is asked about twice a minute.
+const LONGEST_PASS_MS: f64 = 30_000.0;
+
+#[derive(Clone, Copy, Debug)]
+struct PassEntry {
+    until: f64,
+    span: f64,
+}
+
+/// Daemons in the order in which they are asked to place: those with more processor first, then
+/// in an order that all daemons share.
+#[derive(Clone, Debug, Default)]
+pub struct DaemonRank {
+    daemons: Vec<serving::DaemonEntry>,
+    passed: collections::BTreeMap<ids::HostId, PassEntry>,
+}
+
+impl DaemonRank {
+    /// Takes a new list of daemons.
+    pub fn set(&mut self, daemons: &[serving::DaemonEntry]) {
+        self.daemons = daemons.to_vec();
+        self.daemons.sort_by_cached_key(|daemon| {
+            let hash = xxh3::xxh3_64(daemon.host.as_str().as_bytes());
+            (std::cmp::Reverse(daemon.cpu_millis), hash)
+        });
+    }
+
+    /// All daemons in order.
+    pub fn daemons(&self) -> &[serving::DaemonEntry] {
+        &self.daemons
+    }
+
+    /// Passes a daemon over for a while, as it did not answer or is leaving; longer each time.
+    pub fn pass_over(&mut self, host: &ids::HostId, now: f64) {
+        let before = self.passed.get(host).map_or(0.0, |entry| entry.span);
+        let span = (2.0 * before).clamp(PASS_OVER_MS, LONGEST_PASS_MS);
+        let entry = PassEntry {
+            until: now + span,
+            span,
+        };
+        self.passed.insert(host.clone(), entry);
+    }
+
+    /// A daemon was heard: it is passed over no longer.
+    pub fn heard(&mut self, host: &ids::HostId) {
+        self.passed.remove(host);
+    }
+
+    fn is_passed(&self, host: &ids::HostId, now: f64) -> bool {
+        let entry = self.passed.get(host);
+        entry.is_some_and(|entry| now < entry.until)
+    }
+
+    /// The daemon that places, as far as is known.
+    pub fn placer(&self, now: f64) -> Option<&serving::DaemonEntry> {
+        let mut daemons = self.daemons.iter();
+        daemons.find(|daemon| !self.is_passed(&daemon.host, now))
+    }
+
+    /// Whether a daemon is the first of its data centre, and so follows the store for others.
+    pub fn leads_centre(&self, host: &ids::HostId, now: f64) -> bool {
+        let own = self.daemons.iter().find(|daemon| daemon.host == *host);
+        let Some(own) = own else {
+            return true;
+        };
+        let first = self
+            .daemons
+            .iter()
+            .find(|daemon| daemon.centre == own.centre && !self.is_passed(&daemon.host, now));
+        first.is_none_or(|first| first.host == *host)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/replica.rs
@@ -0,0 +1,80 @@
+//! A copy of objects of the store that daemons keep and pass on to one another.
+
+use std::collections;
+
+use bytes::Bytes;
+use model::map;
+use serde::{Deserialize, Serialize};
+
+/// An object, or word that it is gone, as of a revision of the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaObject {
+    /// Its kind, as a number that the adapter gives.
+    pub kind: u8,
+    /// Its name.
+    pub name: String,
+    /// Revision of its last change or of its removal.
+    pub revision: u64,
+    /// Its content; `None` if it is gone.
+    pub spec: Option<Bytes>,
+}
+
+/// The copy, with the order in which its objects changed here.
+#[derive(Clone, Debug, Default)]
+pub struct ObjectReplica {
+    objects: map::HashMap<(u8, String), (u64, ReplicaObject)>,
+    by_change: collections::BTreeMap<u64, (u8, String)>,
+    last_change: u64,
+}
+
+impl ObjectReplica {
+    /// Takes an object in; says whether it is news.
+    ///
+    /// ```
+    /// use sardinepaddle_pool::replica::{ObjectReplica, ReplicaObject};
+    /// let mut replica = ObjectReplica::default();
+    /// let object = ReplicaObject { kind: 0, name: "a".into(), revision: 7, spec: None };
+    /// assert!(replica.apply(object.clone()));
+    /// assert!(!replica.apply(object));
+    /// ```
+    pub fn apply(&mut self, object: ReplicaObject) -> bool {
+        let key = (object.kind, object.name.clone());
+        if let Some((change, known)) = self.objects.get(&key) {
+            if known.revision >= object.revision {
+                return false;
+            }
+            self.by_change.remove(change);
+        }
+        self.last_change += 1;
+        self.by_change.insert(self.last_change, key.clone());
+        self.objects.insert(key, (self.last_change, object));
+        true
+    }
+
+    /// Number of the newest change here.
+    pub fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// Objects that changed here after a change, oldest first.
+    pub fn since(&self, change: u64) -> Vec<ReplicaObject> {
+        let changes = self.by_change.range(change + 1..);
+        changes
+            .filter_map(|(_, key)| self.objects.get(key))
+            .map(|(_, object)| object.clone())
+            .collect()
+    }
+
+    /// Objects of a kind that are there, in no order.
+    pub fn present(&self, kind: u8) -> impl Iterator<Item = &ReplicaObject> {
+        let objects = self.objects.values().map(|(_, object)| object);
+        objects.filter(move |object| object.kind == kind && object.spec.is_some())
+    }
+
+    /// Names of a kind that are there.
+    pub fn names(&self, kind: u8) -> Vec<String> {
+        self.present(kind)
+            .map(|object| object.name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/pool/src/trouble.rs
@@ -0,0 +1,83 @@
+//! What failures say of an endpoint.
+
+use serde::{Deserialize, Serialize};
+
+/// How an attempt went, as far as it says something of its endpoint.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EndpointSign {
+    /// It answered as it should.
+    Good,
+    /// It refused, since it is full.
+    Full,
+    /// It could not be reached, or another endpoint has its address.
+    Unreachable,
+    /// It went silent on a request.
+    Silent,
+    /// It broke off, failed, or sent something unreadable.
+    Failed,
+    /// Nothing can be said, as when the caller went away.
+    Nothing,
+}
+
+/// Time for which an endpoint that could not be reached is avoided at first, ms: a crashed one
+/// comes back within seconds.
+const FIRST_AVOID_MS: f64 = 500.0;
+/// Longest time for which it is avoided, ms; it is then tried with one request.
+const LONGEST_AVOID_MS: f64 = 4_000.0;
+/// Weight of the newest attempt in the share of failures.
+const SIGN_WEIGHT: f64 = 0.25;
+/// Time in which a share of failures halves while nothing is heard, ms.
+const HALF_LIFE_MS: f64 = 4_000.0;
+/// Time for which an endpoint that refused as full gets nothing more, ms: about a pass.
+const FULL_PAUSE_MS: f64 = 60.0;
+
+/// Failures of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct TroubleScore {
+    share: f64,
+    share_at: f64,
+    avoid_ms: f64,
+    avoid_until: f64,
+}
+
+impl TroubleScore {
+    /// Takes in how an attempt went.
+    pub fn note(&mut self, now: f64, sign: EndpointSign) {
+        let failed = match sign {
+            EndpointSign::Good => 0.0,
+            EndpointSign::Full => {
+                self.avoid_until = self.avoid_until.max(now + FULL_PAUSE_MS);
+                return;
+            }
+            EndpointSign::Unreachable | EndpointSign::Silent => {
+                let again = now >= self.avoid_until;
+                if again {
+                    let longer = (self.avoid_ms * 2.0).max(FIRST_AVOID_MS);
+                    self.avoid_ms = longer.min(LONGEST_AVOID_MS);
+                    self.avoid_until = now + self.avoid_ms;
+                }
+                1.0
+            }
+            EndpointSign::Failed => 1.0,
+            EndpointSign::Nothing => return,
+        };
+        if sign == EndpointSign::Good {
+            self.avoid_ms = 0.0;
+            self.avoid_until = self.avoid_until.min(now);
+        }
+        let share = self.share(now);
+        self.share = share + SIGN_WEIGHT * (failed - share);
+        self.share_at = now;
+    }
+
+    /// Share of attempts that are likely to fail.
+    pub fn share(&self, now: f64) -> f64 {
+        let halvings = (now - self.share_at).max(0.0) / HALF_LIFE_MS;
+        self.share * 0.5_f64.powf(halvings)
+    }
+
+    /// Whether the endpoint is to get nothing now.
+    pub fn avoided(&self, now: f64) -> bool {
+        now < self.avoid_until
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod daemon;
 pub mod fault;
+pub mod gateway;
 pub mod generate;
 pub mod load;
 pub mod networks;
