Choose who follows the store among daemons that are connected and reach it

Ruled out: lost relays (each change that one daemon read reached all within 10 ms). Change: the placing daemon names the followers of the store; each kind has its own age, and the waits follow from the bounds of the deployment.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -14,10 +14,18 @@
 
 use crate::world;
 
-/// Time that a watch waits at most: a store that went silent is noticed this much later.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Share of the time in which a kind must be known everywhere that a watch waits at most.
+const WAIT_SHARE: f64 = 0.4;
+/// Share of that time after which a daemon that is told nothing follows the store by itself.
+const STALE_SHARE: f64 = 0.6;
+/// Time in which the list of daemons is to be known everywhere, ms: those that are missing only
+/// place for themselves.
+const DAEMONS_BOUND_MS: f64 = 10_000.0;
 /// Time between two looks at whether to follow.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after a failed call for daemons that follow for none but themselves: the store
+/// bears, and counts, calls of all of them.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
 /// First and longest pause after a failed call.
 const RETRY_PAUSES: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -94,22 +102,35 @@
                 Err(error) => {
                     self.note_failure(&error);
                     time::sleep(pause).await;
+                    let longest = if self.world.leads() {
+                        longest
+                    } else {
+                        LONGEST_PAUSE
+                    };
                     pause = (pause * 2).min(longest);
                 }
             }
         }
     }
 
+    /// Time in which changes of this kind must be known everywhere, ms.
+    fn bound_ms(&self) -> f64 {
+        let settings = self.world.settings();
+        match self.kind {
+            catalog::ObjectKind::Config => settings.bounds.config_ms,
+            catalog::ObjectKind::Endpoints => settings.bounds.endpoints_ms,
+            catalog::ObjectKind::Emptied => settings.bounds.emptied_ms,
+            catalog::ObjectKind::Daemons => DAEMONS_BOUND_MS,
+        }
+    }
+
     fn follows(&self) -> bool {
         let world = &self.world;
         if world.is_leaving() {
             return false;
         }
-        let leads = {
-            let rank = world.rank.borrow();
-            rank.leads_centre(&world.settings().host, world.now())
-        };
-        self.revision.is_none() || leads || world.data_age() > world::STALE_MS || self.away
+        let stale = world.age(self.kind) > STALE_SHARE * self.bound_ms();
+        self.revision.is_none() || world.leads() || stale || self.away
     }
 
     async fn step(&mut self) -> store::Result<()> {
@@ -181,7 +202,8 @@
         let now = self.world.now();
         let due = self.held.values().copied().fold(f64::INFINITY, f64::min);
         let until_due = Duration::from_secs_f64(((due - now) / 1_000.0).clamp(0.02, 60.0));
-        WATCH_WAIT.min(until_due)
+        let wait = Duration::from_secs_f64(WAIT_SHARE * self.bound_ms() / 1_000.0);
+        wait.min(until_due)
     }
 
     fn object(&mut self, stored: store::StoredObject) -> replica::ReplicaObject {
@@ -233,7 +255,8 @@
     fn note_answer(&mut self) {
         let kind = self.kind.wire_name();
         self.world.metrics.store_call(kind, "done");
-        self.world.note_fresh(0.0);
+        self.world.note_fresh(self.kind);
+        self.world.note_sight(self.kind, true);
         if self.away {
             self.away = false;
             self.back_at = self.world.now();
@@ -244,9 +267,10 @@
     fn note_failure(&mut self, error: &store::StoreError) {
         let kind = self.kind.wire_name();
         self.world.metrics.store_call(kind, "failed");
+        self.world.note_sight(self.kind, false);
         if !self.away {
             self.away = true;
-            let age = self.world.data_age();
+            let age = self.world.age(self.kind);
             log::warn!(target: "sardinepaddle", kind, error:% = error, data_age_ms = age;
                 "store lost");
         }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -113,11 +113,13 @@
         }
     }
 
-    fn beat(&self) -> LinkMessage {
+    fn beat(&self, follow: bool) -> LinkMessage {
         let world = &self.world;
         LinkMessage::Beat {
-            data_age_ms: world.data_age().clamp(0.0, 1e9) as u64,
+            ages_ms: world.ages(),
+            sighted: world.is_sighted(),
             placing: world.is_ready(),
+            follow,
         }
     }
 
@@ -127,8 +129,8 @@
         let (sender, mut outbox) = mpsc::unbounded_channel();
         self.world.add_follower(life, sender);
         log::info!(target: "sardinepaddle", daemon:% = host, life; "daemon connected");
-        let end = self.follower_loop(life, host.as_str(), &mut outbox).await;
-        self.world.drop_follower(life);
+        let end = self.follower_loop(life, &host, &mut outbox).await;
+        self.world.drop_follower(&host, life);
         if let Err(error) = &end {
             log::info!(target: "sardinepaddle", daemon:% = host, life, error:% = error;
                 "daemon disconnected");
@@ -139,7 +141,7 @@
     async fn follower_loop(
         &mut self,
         life: u64,
-        host: &str,
+        host: &ids::HostId,
         outbox: &mut mpsc::UnboundedReceiver<LinkMessage>,
     ) -> Result<()> {
         let mut changes = self.world.changes();
@@ -148,10 +150,11 @@
         loop {
             tokio::select! {
                 message = self.receive() => match message? {
-                    LinkMessage::Objects(objects) => self.take_objects(objects, host),
-                    LinkMessage::Beat { data_age_ms, .. } => {
-                        self.world.note_fresh(data_age_ms as f64);
-                        let beat = self.beat();
+                    LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
+                    LinkMessage::Beat { ages_ms, sighted, .. } => {
+                        self.world.note_ages(&ages_ms);
+                        let follow = self.world.choose_leader(host, sighted);
+                        let beat = self.beat(follow);
                         self.send(&beat).await?;
                     }
                     message => self.world.on_follower_message(life, message),
@@ -181,8 +184,9 @@
             tokio::select! {
                 message = self.receive() => match message? {
                     LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
-                    LinkMessage::Beat { data_age_ms, placing } => {
-                        self.world.note_fresh(data_age_ms as f64);
+                    LinkMessage::Beat { ages_ms, placing, follow, .. } => {
+                        self.world.note_ages(&ages_ms);
+                        self.world.set_told_to_follow(follow);
                         if !placing {
                             return Err(LinkError::NotPlacing);
                         }
@@ -195,7 +199,7 @@
                     if self.world.now() - self.heard_at > SILENCE_MS {
                         return Err(LinkError::Silent);
                     }
-                    let beat = self.beat();
+                    let beat = self.beat(false);
                     self.send(&beat).await?;
                 }
             }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -24,10 +24,14 @@
     Objects(Vec<replica::ReplicaObject>),
     /// Sign of life, sent at a fixed pace by the daemon that opened the connection, and replied to.
     Beat {
-        /// Age of what the sender knows of the store, ms.
-        data_age_ms: u64,
+        /// Ages of what the sender knows of each kind of objects, ms.
+        ages_ms: Vec<u64>,
+        /// Whether the sender reaches the store, as far as it knows.
+        sighted: bool,
         /// Whether the sender can place requests.
         placing: bool,
+        /// Whether the receiver is to follow the store for others.
+        follow: bool,
     },
     /// Attempts that run at the sender, for a daemon that is to place from now on.
     Running(Vec<job::RunningJob>),
@@ -80,7 +84,7 @@
 ///
 /// ```
 /// use sardinepaddle_gateway::message::{decode, encode, LinkMessage};
-/// let message = LinkMessage::Beat { data_age_ms: 40, placing: true };
+/// let message = LinkMessage::Withdraw { job: pool::job::JobId { life: 1, number: 2 } };
 /// assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
 /// ```
 pub fn encode(message: &LinkMessage) -> Result<Bytes, postcard::Error> {
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -22,8 +22,11 @@
 use crate::message;
 use crate::metrics;
 
-/// Age of what is known of the store beyond which it is not passed for current, ms.
-pub(crate) const STALE_MS: f64 = 2_500.0;
+/// Kinds of objects that are followed.
+const KINDS: usize = catalog::ObjectKind::ALL.len();
+/// Time that a message between daemons takes at most as a rule, ms: told ages grow by it, so that
+/// what is passed around does not stay young.
+const TRANSIT_MS: f64 = 5.0;
 /// Time after which an ask that met neither verdict nor word that it waits goes elsewhere, ms:
 /// some times the slowest exchange between two daemons that run.
 const ASK_PATIENCE_MS: f64 = 250.0;
@@ -59,8 +62,8 @@
     index: rc::Rc<routes::RouteIndex>,
     endpoints: map::HashMap<ids::EndpointId, serving::LiveEndpoint>,
     emptied: Vec<ids::CentreId>,
-    /// When the store was last heard, here or by a daemon that told.
-    fresh_at: f64,
+    /// When the store last told of each kind, here or by a daemon that passed it on.
+    fresh_at: [f64; KINDS],
 }
 
 /// The state and the ways to change it.
@@ -81,6 +84,11 @@
     /// Number of the newest change of the replica.
     changes: watch::Sender<u64>,
     leaving: cell::Cell<bool>,
+    /// Kinds on which the last call to the store failed.
+    blind: cell::RefCell<[bool; KINDS]>,
+    /// Connected followers, and whether they reach the store.
+    sights: cell::RefCell<map::HashMap<ids::HostId, bool>>,
+    told_to_follow: cell::Cell<bool>,
     next_job: cell::Cell<u64>,
     pub active: cell::Cell<usize>,
 }
@@ -111,7 +119,7 @@
                 index: rc::Rc::default(),
                 endpoints: map::HashMap::default(),
                 emptied: Vec::new(),
-                fresh_at: f64::NEG_INFINITY,
+                fresh_at: [f64::NEG_INFINITY; KINDS],
             }),
             placer: cell::RefCell::new(placer::JobPlacer::new(bounds)),
             rank: cell::RefCell::new(rank::DaemonRank::default()),
@@ -121,6 +129,9 @@
             followers: cell::RefCell::default(),
             changes: watch::Sender::new(0),
             leaving: cell::Cell::new(false),
+            blind: cell::RefCell::default(),
+            sights: cell::RefCell::default(),
+            told_to_follow: cell::Cell::new(false),
             next_job: cell::Cell::new(0),
             active: cell::Cell::new(0),
         }
@@ -161,16 +172,77 @@
         self.leaving.set(true);
     }
 
-    /// Age of what is known of the store, ms.
+    /// Age of what is known of the configuration and the endpoints, ms.
     pub fn data_age(&self) -> f64 {
-        self.now() - self.known.borrow().fresh_at
+        let config = self.age(catalog::ObjectKind::Config);
+        config.max(self.age(catalog::ObjectKind::Endpoints))
     }
 
-    /// What is known is at most this old.
-    pub fn note_fresh(&self, age_ms: f64) {
-        let at = self.now() - age_ms;
+    /// Age of what is known of a kind, ms.
+    pub fn age(&self, kind: catalog::ObjectKind) -> f64 {
+        self.now() - self.known.borrow().fresh_at[kind as usize]
+    }
+
+    /// Ages of all kinds, whole ms.
+    pub fn ages(&self) -> Vec<u64> {
+        let kinds = catalog::ObjectKind::ALL.into_iter();
+        kinds
+            .map(|kind| self.age(kind).clamp(0.0, 1e9) as u64)
+            .collect()
+    }
+
+    /// The store told of a kind.
+    pub fn note_fresh(&self, kind: catalog::ObjectKind) {
+        let now = self.now();
+        self.known.borrow_mut().fresh_at[kind as usize] = now;
+    }
+
+    /// Another daemon told how old its knowledge is.
+    pub fn note_ages(&self, ages_ms: &[u64]) {
+        let now = self.now();
         let mut known = self.known.borrow_mut();
-        known.fresh_at = known.fresh_at.max(at);
+        for (fresh_at, age) in known.fresh_at.iter_mut().zip(ages_ms) {
+            *fresh_at = fresh_at.max(now - *age as f64 - TRANSIT_MS);
+        }
+    }
+
+    /// A call to the store about a kind failed or succeeded.
+    pub fn note_sight(&self, kind: catalog::ObjectKind, reached: bool) {
+        self.blind.borrow_mut()[kind as usize] = !reached;
+    }
+
+    /// Whether the store is reached, as far as is known.
+    pub fn is_sighted(&self) -> bool {
+        !self.blind.borrow().contains(&true)
+    }
+
+    /// Whether this daemon is to follow the store for others.
+    pub fn leads(&self) -> bool {
+        match &*self.role.borrow() {
+            PlacerRole::Own => true,
+            PlacerRole::Remote { .. } => self.told_to_follow.get(),
+        }
+    }
+
+    /// The daemon that places told whether to follow the store.
+    pub fn set_told_to_follow(&self, follow: bool) {
+        self.told_to_follow.set(follow);
+    }
+
+    /// A follower told whether it reaches the store; says whether it is to follow it for its data
+    /// centre: the first one connected there that does.
+    pub fn choose_leader(&self, host: &ids::HostId, sighted: bool) -> bool {
+        let own = self.settings().host.clone();
+        {
+            let mut sights = self.sights.borrow_mut();
+            sights.insert(host.clone(), sighted);
+            sights.insert(own, self.is_sighted());
+        }
+        let sights = self.sights.borrow();
+        let sighted = |host: &ids::HostId| sights.get(host).copied().unwrap_or(false);
+        let rank = self.rank.borrow();
+        let first = rank.first_of_centre(host, sighted);
+        first.is_none_or(|first| first == host)
     }
 
     /// Records metrics that change slowly.
@@ -556,7 +628,8 @@
     }
 
     /// The connection of such a daemon is over.
-    pub fn drop_follower(&self, life: u64) {
+    pub fn drop_follower(&self, host: &ids::HostId, life: u64) {
+        self.sights.borrow_mut().remove(host);
         self.followers.borrow_mut().remove(&life);
         self.share_budget();
         self.placer.borrow_mut().withdraw_life(self.now(), life);
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -67,16 +67,18 @@
         daemons.find(|daemon| !self.is_passed(&daemon.host, now))
     }
 
-    /// Whether a daemon is the first of its data centre, and so follows the store for others.
-    pub fn leads_centre(&self, host: &ids::HostId, now: f64) -> bool {
-        let own = self.daemons.iter().find(|daemon| daemon.host == *host);
-        let Some(own) = own else {
-            return true;
-        };
-        let first = self
+    /// The first daemon of another's data centre that `fits`.
+    pub fn first_of_centre(
+        &self,
+        host: &ids::HostId,
+        fits: impl Fn(&ids::HostId) -> bool,
+    ) -> Option<&ids::HostId> {
+        let own = self.daemons.iter().find(|daemon| daemon.host == *host)?;
+        let mut others = self
             .daemons
             .iter()
-            .find(|daemon| daemon.centre == own.centre && !self.is_passed(&daemon.host, now));
-        first.is_none_or(|first| first.host == *host)
+            .map(|daemon| (&daemon.host, &daemon.centre));
+        let first = others.find(|(host, centre)| **centre == own.centre && fits(host));
+        first.map(|(host, _)| host)
     }
 }
--- /dev/null
+++ b/crates/pool/tests/rank.rs
@@ -0,0 +1,53 @@
+//! Which daemon places, and which follows the store for its data centre.
+
+use model::ids;
+use model::serving;
+use sardinepaddle_pool::rank;
+
+fn entry(host: &str, centre: &str, cpu_millis: u32) -> serving::DaemonEntry {
+    serving::DaemonEntry {
+        host: ids::HostId::new(host),
+        centre: ids::CentreId::new(centre),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        cpu_millis,
+    }
+}
+
+fn three_daemons() -> rank::DaemonRank {
+    let mut daemons = rank::DaemonRank::default();
+    daemons.set(&[entry("a1", "a", 250), entry("a2", "a", 250), entry("b1", "b", 500)]);
+    daemons
+}
+
+#[test]
+fn the_daemon_with_most_processor_places() {
+    let daemons = three_daemons();
+    assert_eq!(daemons.placer(0.0).unwrap().host.as_str(), "b1");
+}
+
+#[test]
+fn a_daemon_that_did_not_answer_is_passed_over_longer_each_time() {
+    let mut daemons = three_daemons();
+    let b1 = ids::HostId::new("b1");
+    daemons.pass_over(&b1, 0.0);
+    assert_ne!(daemons.placer(1_000.0).unwrap().host, b1);
+    assert_eq!(daemons.placer(1_600.0).unwrap().host, b1);
+    daemons.pass_over(&b1, 1_600.0);
+    assert_ne!(daemons.placer(3_500.0).unwrap().host, b1);
+    daemons.heard(&b1);
+    assert_eq!(daemons.placer(3_500.0).unwrap().host, b1);
+}
+
+// A host that was replaced stayed first of its data centre for ever, and nobody there followed
+// the store (trouble-3 of zaatar-amman, seed 144841837859: CONFIG).
+#[test]
+fn a_daemon_that_is_gone_does_not_follow_the_store_for_its_data_centre() {
+    let daemons = three_daemons();
+    let a1 = ids::HostId::new("a1");
+    let a2 = ids::HostId::new("a2");
+    let first = daemons.first_of_centre(&a1, |_| true).unwrap().clone();
+    let other = if first == a1 { &a2 } else { &a1 };
+    let next = daemons.first_of_centre(&a1, |host| *host != first);
+    assert_eq!(next, Some(other));
+    assert_eq!(daemons.first_of_centre(&a1, |_| false), None);
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -83,6 +83,12 @@
     pub cold_factor: f64,
     /// Requests a second that it bears beyond.
     pub cold_extra: f64,
+    /// Time in which a configuration is in force on every daemon, ms.
+    pub config_ms: f64,
+    /// Time in which a leaving endpoint gets no more requests, ms.
+    pub endpoints_ms: f64,
+    /// Time in which a data centre out of service gets no more requests, ms.
+    pub emptied_ms: f64,
 }
 
 impl Default for GatewayBounds {
@@ -95,6 +101,9 @@
             retry_extra: 100.0,
             cold_factor: 1.5,
             cold_extra: 5.0,
+            config_ms: 2_000.0,
+            endpoints_ms: 2_000.0,
+            emptied_ms: 5_000.0,
         }
     }
 }
@@ -157,6 +166,9 @@
         ),
         ("bounds.cold_factor", "0 or more", bounds.cold_factor >= 0.0),
         ("bounds.cold_extra", "0 or more", bounds.cold_extra >= 0.0),
+        ("bounds.config_ms", "above 0", bounds.config_ms > 0.0),
+        ("bounds.endpoints_ms", "above 0", bounds.endpoints_ms > 0.0),
+        ("bounds.emptied_ms", "above 0", bounds.emptied_ms > 0.0),
     ];
     for (field, range, holds) in checks {
         if !holds {
