--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,8 +27,9 @@
 pub(crate) async fn run(mut run: request::RequestRun) -> http::Response<answer::AnswerBody> {
     let request = run.request.clone();
     let over = Outcome::new(&request);
+    let mut next = run.next_answer().await;
     loop {
-        let live = match run.next_answer().await {
+        let live = match next {
             Ok(live) => live,
             Err(given_up) => return over.refuse(given_up),
         };
@@ -41,9 +42,9 @@
                 return response;
             }
             Err((attempt, sign, reason)) => {
-                if let Err(given_up) = run.after_break(attempt, sign, reason) {
-                    return over.refuse(given_up);
-                }
+                let plan = attempt.plan.clone();
+                attempt.fail(sign);
+                next = run.go_on(&plan, sign, reason).await;
             }
         }
     }
@@ -170,26 +171,12 @@
 ) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> {
     async_stream::stream! {
         let request = run.request.clone();
-        let mut current = Some((attempt, body));
         let mut started = false;
-        while let Some((attempt, mut body)) = current.take() {
-            let mut splitter = events::EventSplitter::default();
+        let splitter = events::EventSplitter::default();
+        let mut current = Some((attempt, body, splitter));
+        while let Some((attempt, mut body, mut splitter)) = current.take() {
             let mut any = false;
             let (sign, reason) = loop {
-                let wait = match any {
-                    true => run.pause_wait_ms(),
-                    false => run.first_wait_ms(&attempt.plan),
-                };
-                match next_piece(&mut body, wait).await {
-                    Piece::Bytes(bytes) => splitter.push(&bytes),
-                    Piece::End if splitter.is_empty() => {
-                        attempt.complete(&request.upstreams).await;
-                        over.end("answered", "complete");
-                        return;
-                    }
-                    Piece::End => break (trouble::EndpointSign::Failed, "event_torn"),
-                    Piece::Broken(sign, reason) => break (sign, reason),
-                }
                 while let Some(event) = splitter.next_event() {
                     if !any {
                         any = true;
@@ -205,25 +192,54 @@
                     run.last_event = event.id.or(run.last_event);
                     yield Ok(Frame::data(event.bytes));
                 }
+                let wait = match any {
+                    true => run.pause_wait_ms(),
+                    false => run.first_wait_ms(&attempt.plan),
+                };
+                match next_piece(&mut body, wait).await {
+                    Piece::Bytes(bytes) => splitter.push(&bytes),
+                    Piece::End if splitter.is_empty() => {
+                        attempt.complete(&request.upstreams).await;
+                        over.end("answered", "complete");
+                        return;
+                    }
+                    Piece::End => break (trouble::EndpointSign::Failed, "event_torn"),
+                    Piece::Broken(sign, reason) => break (sign, reason),
+                }
             };
-            drop(body);
             if request.left_ms() <= 0.0 {
                 attempt.fail(trouble::EndpointSign::Nothing);
                 over.end("failed", "deadline_passed");
                 yield Err(RelayError("deadline passed"));
                 return;
             }
-            if run.after_break(attempt, sign, reason).is_ok() {
-                if let Ok(live) = run.next_answer().await {
+            let plan = attempt.plan.clone();
+            // A silent endpoint may go on yet: it is left only for one that does.
+            let mut kept = None;
+            match sign {
+                trouble::EndpointSign::Silent => kept = Some((attempt, body, splitter)),
+                sign => attempt.fail(sign),
+            }
+            match run.go_on(&plan, sign, reason).await {
+                Ok(live) => {
                     log::info!(target: "sardinepaddle", request = request.hints.attempt,
                         endpoint:% = live.attempt.plan.first.endpoint, after_event = run.last_event;
                         "stream goes on at another endpoint");
-                    current = Some((live.attempt, live.body));
-                    continue;
+                    if let Some((attempt, ..)) = kept.take() {
+                        attempt.fail(sign);
+                    }
+                    current = Some((live.attempt, live.body, events::EventSplitter::default()));
+                }
+                Err(_) if kept.is_some() => {
+                    log::info!(target: "sardinepaddle", request = request.hints.attempt;
+                        "no other endpoint: waiting for the silent one");
+                    current = kept.take();
+                }
+                Err(_) => {
+                    over.end("failed", reason);
+                    yield Err(RelayError(reason));
                 }
             }
-            over.end("failed", reason);
-            yield Err(RelayError(reason));
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,7 @@
 //! One caller's request: looks for a place, sends it, and tries again where that is allowed.
 
+use std::net;
+use std::pin::Pin;
 use std::rc;
 use std::time::Duration;
 
@@ -25,7 +27,7 @@
 /// Times the predicted wait after which a first event is taken for lost.
 const FIRST_WAIT_FACTOR: f64 = 3.0;
 /// Share of a caller's patience between events after which another endpoint is tried.
-const PATIENCE_SHARE: f64 = 0.55;
+const PATIENCE_SHARE: f64 = 0.7;
 /// Shortest patience of callers between two events, ms; from the users' protocol.
 const LEAST_PATIENCE_MS: f64 = 2_000.0;
 /// Objectives and pauses that callers wait at least; from the users' protocol.
@@ -200,6 +202,8 @@
     ran: bool,
     avoid: Vec<ids::EndpointId>,
     failure: Option<EndpointFailure>,
+    /// An exchange that is silent, kept until another one answers.
+    held: Option<SentRequest>,
 }
 
 impl RequestRun {
@@ -212,6 +216,7 @@
             ran: false,
             avoid: Vec::new(),
             failure: None,
+            held: None,
         }
     }
 
@@ -228,17 +233,25 @@
         }
     }
 
-    /// An answer that had begun broke off. `Err` if there is nothing more to try.
-    pub fn after_break(
+    /// A begun answer broke off or went silent: looks for an endpoint that goes on with it.
+    pub async fn go_on(
         &mut self,
-        attempt: ActiveAttempt,
+        plan: &job::PlacePlan,
         sign: trouble::EndpointSign,
         reason: &'static str,
-    ) -> Result<(), GivenUp> {
-        self.avoid.push(attempt.plan.first.endpoint.clone());
-        attempt.fail(sign);
+    ) -> Result<LiveAnswer, GivenUp> {
+        self.avoid.push(plan.first.endpoint.clone());
         let fault = AttemptFault::may_have_run(sign, reason);
-        self.after_fault(fault).map_or(Ok(()), Err)
+        match self.after_fault(fault) {
+            None => self.next_answer().await,
+            Some(given_up) => Err(given_up),
+        }
+    }
+
+    fn log_fault(&self, fault: &AttemptFault) {
+        self.request.world.metrics.attempt(fault.reason);
+        log::info!(target: "sardinepaddle", request = self.request.hints.attempt,
+            reason = fault.reason; "held attempt failed");
     }
 
     fn after_fault(&mut self, fault: AttemptFault) -> Option<GivenUp> {
@@ -324,51 +337,161 @@
     }
 
     async fn attempt(&mut self) -> Result<LiveAnswer, AttemptFault> {
-        let request = self.request.clone();
-        let world = &request.world;
-        let mut lease = JobLease {
-            world: world.clone(),
+        let world = self.request.world.clone();
+        let lease = JobLease {
             job: world.new_job(),
+            world,
             over: false,
         };
-        let plan = self.place(lease.job).await?;
-        let placed_at = world.now();
-        let sent = self.send(&lease, &plan).await;
-        let fault = match sent {
-            Ok((connection, memory, response)) => {
-                let keep = upstream::kept_for(response.headers());
-                match self.judge(response, &plan).await {
-                    Ok((status, headers, body)) => {
-                        return Ok(LiveAnswer {
-                            attempt: ActiveAttempt {
-                                lease,
-                                _memory: memory,
-                                connection,
-                                placed_at,
-                                plan,
-                                keep,
-                            },
-                            status,
-                            headers,
-                            body,
-                        });
+        let sent = match self.place(lease.job).await {
+            Ok(plan) => self.send(lease, plan).await,
+            Err(fault) => Err(fault),
+        };
+        match (sent, self.held.take()) {
+            (Ok(sent), held) => self.first_of(sent, held).await,
+            // There is no better place: the silent one is all there is.
+            (Err(fault), Some(held)) if fault.declined.is_some() => {
+                let left = self.request.left_ms();
+                self.held_answer(held, left).await
+            }
+            (Err(fault), held) => {
+                self.held = held;
+                Err(fault)
+            }
+        }
+    }
+
+    /// Waits for the first of two exchanges; the other one is cut.
+    async fn first_of(
+        &mut self,
+        mut sent: SentRequest,
+        mut held: Option<SentRequest>,
+    ) -> Result<LiveAnswer, AttemptFault> {
+        let limit = time::sleep(span(self.first_wait_ms(&sent.plan)));
+        tokio::pin!(limit);
+        loop {
+            let earlier = async {
+                match held.as_mut() {
+                    Some(held) => held.exchange.as_mut().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                reply = sent.exchange.as_mut() => {
+                    let answer = self.answer_of(sent, reply).await;
+                    self.held = held.filter(|_| answer.is_err());
+                    return answer;
+                }
+                reply = earlier => {
+                    let Some(earlier) = held.take() else {
+                        continue;
+                    };
+                    match self.answer_of(earlier, reply).await {
+                        Ok(answer) => return Ok(answer),
+                        Err(fault) => self.log_fault(&fault),
                     }
-                    Err(fault) => fault,
+                }
+                () = &mut limit => {
+                    self.avoid.push(sent.plan.first.endpoint.clone());
+                    self.held = Some(sent);
+                    return Err(AttemptFault::may_have_run(
+                        trouble::EndpointSign::Silent,
+                        "no_answer_in_time",
+                    ));
                 }
             }
-            Err(fault) => fault,
+        }
+    }
+
+    async fn held_answer(
+        &mut self,
+        mut held: SentRequest,
+        wait_ms: f64,
+    ) -> Result<LiveAnswer, AttemptFault> {
+        match time::timeout(span(wait_ms), held.exchange.as_mut()).await {
+            Ok(reply) => self.answer_of(held, reply).await,
+            Err(_) => {
+                let sign = trouble::EndpointSign::Silent;
+                held.lease.end(job::JobEnd {
+                    sign,
+                    at_fault: None,
+                });
+                Err(AttemptFault::may_have_run(sign, "no_answer_in_time"))
+            }
+        }
+    }
+
+    /// Turns the reply to an exchange into an answer, or ends its attempt.
+    async fn answer_of(
+        &mut self,
+        sent: SentRequest,
+        reply: upstream::Result<Exchanged>,
+    ) -> Result<LiveAnswer, AttemptFault> {
+        let SentRequest {
+            mut lease,
+            memory,
+            plan,
+            placed_at,
+            exchange: _,
+        } = sent;
+        let judged = match reply {
+            Ok((connection, response)) => {
+                let keep = upstream::kept_for(response.headers());
+                let judged = self.judge(response, &plan).await;
+                judged.map(|parts| (connection, keep, parts))
+            }
+            Err(error) => Err(self.exchange_fault(&plan, &error)),
         };
+        match judged {
+            Ok((connection, keep, (status, headers, body))) => Ok(LiveAnswer {
+                attempt: ActiveAttempt {
+                    lease,
+                    _memory: memory,
+                    connection,
+                    plan,
+                    placed_at,
+                    keep,
+                },
+                status,
+                headers,
+                body,
+            }),
+            Err(fault) => {
+                self.end_at_fault(&mut lease, &plan, &fault);
+                Err(fault)
+            }
+        }
+    }
+
+    fn end_at_fault(&mut self, lease: &mut JobLease, plan: &job::PlacePlan, fault: &AttemptFault) {
         let at_fault = fault.at_fault.clone();
-        self.avoid.push(
-            at_fault
-                .clone()
-                .unwrap_or_else(|| plan.first.endpoint.clone()),
-        );
+        let avoided = at_fault.clone();
+        self.avoid
+            .push(avoided.unwrap_or_else(|| plan.first.endpoint.clone()));
         lease.end(job::JobEnd {
             sign: fault.sign,
             at_fault,
         });
-        Err(fault)
+    }
+
+    fn exchange_fault(
+        &self,
+        plan: &job::PlacePlan,
+        error: &upstream::UpstreamError,
+    ) -> AttemptFault {
+        log::info!(target: "sardinepaddle", request = self.request.hints.attempt,
+            endpoint:% = plan.first.endpoint, error:% = error; "exchange failed");
+        match error {
+            upstream::UpstreamError::Connect(_) => {
+                AttemptFault::not_run(trouble::EndpointSign::Unreachable, "unreachable")
+            }
+            upstream::UpstreamError::Unsendable(_) => {
+                AttemptFault::not_run(trouble::EndpointSign::Nothing, "unsendable")
+            }
+            upstream::UpstreamError::Broken(_) | upstream::UpstreamError::Stale(_) => {
+                AttemptFault::may_have_run(trouble::EndpointSign::Failed, "connection_broke")
+            }
+        }
     }
 
     async fn place(&self, job: job::JobId) -> Result<job::PlacePlan, AttemptFault> {
@@ -438,65 +561,44 @@
         }
     }
 
-    async fn send(&self, lease: &JobLease, plan: &job::PlacePlan) -> Result<Sent, AttemptFault> {
-        let request = &self.request;
-        if !request.world.takes_work(&plan.first.endpoint) {
-            return Err(AttemptFault::not_run(
-                trouble::EndpointSign::Nothing,
-                "endpoint_left",
-            ));
-        }
-        let memory =
-            reservations::MemoryLease::reserve(&request.upstreams, lease.job, &plan.helpers).await;
-        let memory = memory.map_err(|endpoint| AttemptFault {
-            at_fault: Some(endpoint),
-            ..AttemptFault::not_run(trouble::EndpointSign::Full, "memory_refused")
-        })?;
-        let repeatable = request.found.route.repeat.is_repeatable();
-        let mut fresh = !repeatable;
-        loop {
-            let connection = request
-                .upstreams
-                .connect(plan.first.address, fresh)
-                .await
-                .map_err(|error| {
-                    self.log_upstream(plan, &error);
-                    AttemptFault::not_run(trouble::EndpointSign::Unreachable, "unreachable")
-                })?;
-            match self.exchange(connection, lease, plan).await {
-                Err(upstream::UpstreamError::Stale(_)) if !fresh => fresh = true,
-                Err(error) => {
-                    self.log_upstream(plan, &error);
-                    return Err(match error {
-                        upstream::UpstreamError::Silent => AttemptFault::may_have_run(
-                            trouble::EndpointSign::Silent,
-                            "no_answer_in_time",
-                        ),
-                        upstream::UpstreamError::Unsendable(_) => {
-                            AttemptFault::not_run(trouble::EndpointSign::Nothing, "unsendable")
-                        }
-                        _ => AttemptFault::may_have_run(
-                            trouble::EndpointSign::Failed,
-                            "connection_broke",
-                        ),
-                    });
-                }
-                Ok((connection, response)) => return Ok((connection, memory, response)),
+    /// Sends a request where a plan says; the exchange goes on by itself when polled.
+    async fn send(
+        &mut self,
+        mut lease: JobLease,
+        plan: job::PlacePlan,
+    ) -> Result<SentRequest, AttemptFault> {
+        let request = self.request.clone();
+        let placed_at = request.world.now();
+        let prepared = if request.world.takes_work(&plan.first.endpoint) {
+            let upstreams = &request.upstreams;
+            let memory = reservations::MemoryLease::reserve(upstreams, lease.job, &plan.helpers);
+            memory.await.map_err(|endpoint| AttemptFault {
+                at_fault: Some(endpoint),
+                ..AttemptFault::not_run(trouble::EndpointSign::Full, "memory_refused")
+            })
+        } else {
+            let sign = trouble::EndpointSign::Nothing;
+            Err(AttemptFault::not_run(sign, "endpoint_left"))
+        };
+        let memory = match prepared {
+            Ok(memory) => memory,
+            Err(fault) => {
+                self.end_at_fault(&mut lease, &plan, &fault);
+                return Err(fault);
             }
-        }
-    }
-
-    fn log_upstream(&self, plan: &job::PlacePlan, error: &upstream::UpstreamError) {
-        log::info!(target: "sardinepaddle", request = self.request.hints.attempt,
-            endpoint:% = plan.first.endpoint, error:% = error; "exchange failed");
+        };
+        let headers = self.outgoing_headers(&lease, &plan);
+        let exchange = Box::pin(exchange(request, plan.first.address, headers));
+        Ok(SentRequest {
+            lease,
+            memory,
+            plan,
+            placed_at,
+            exchange,
+        })
     }
 
-    async fn exchange(
-        &self,
-        mut connection: upstream::UpstreamConnection,
-        lease: &JobLease,
-        plan: &job::PlacePlan,
-    ) -> upstream::Result<(upstream::UpstreamConnection, http::Response<Incoming>)> {
+    fn outgoing_headers(&self, lease: &JobLease, plan: &job::PlacePlan) -> http::HeaderMap {
         let request = &self.request;
         let helpers: Vec<headers::HelperSlot> = plan
             .helpers
@@ -507,23 +609,17 @@
                     .then(|| reservations::reservation_id(lease.job, helper)),
             })
             .collect();
-        let order = headers::SendOrder {
-            endpoint: &plan.first.endpoint,
-            left: span(request.left_ms()),
-            customer: request.found.customer.as_ref(),
-            priority: request.hints.tokens.is_some().then_some(plan.priority),
-            helpers: &helpers,
-            last_event: self.last_event,
-        };
-        let mut outgoing = http::Request::builder()
-            .method(request.method.clone())
-            .uri(request.path.as_str())
-            .body(Full::new(request.body.clone()))?;
-        *outgoing.headers_mut() = headers::for_endpoint(&request.headers, &order);
-        let limit = span(self.first_wait_ms(plan));
-        let reply = time::timeout(limit, connection.exchange(outgoing)).await;
-        let response = reply.map_err(|_| upstream::UpstreamError::Silent)??;
-        Ok((connection, response))
+        headers::for_endpoint(
+            &request.headers,
+            &headers::SendOrder {
+                endpoint: &plan.first.endpoint,
+                left: span(request.left_ms()),
+                customer: request.found.customer.as_ref(),
+                priority: request.hints.tokens.is_some().then_some(plan.priority),
+                helpers: &helpers,
+                last_event: self.last_event,
+            },
+        )
     }
 
     /// Says whether an answer's head is that of a good answer to this request.
@@ -599,8 +695,35 @@
     }
 }
 
-type Sent = (
-    upstream::UpstreamConnection,
-    reservations::MemoryLease,
-    http::Response<Incoming>,
-);
+type Exchanged = (upstream::UpstreamConnection, http::Response<Incoming>);
+
+/// A request on its way to an endpoint.
+struct SentRequest {
+    lease: JobLease,
+    memory: reservations::MemoryLease,
+    plan: job::PlacePlan,
+    placed_at: f64,
+    exchange: Pin<Box<dyn Future<Output = upstream::Result<Exchanged>>>>,
+}
+
+/// Sends a request and waits for the head of its answer. A kept connection that was closed
+/// meanwhile is replaced by a fresh one if the request may run again.
+async fn exchange(
+    request: rc::Rc<CallerRequest>,
+    address: net::SocketAddr,
+    headers: http::HeaderMap,
+) -> upstream::Result<Exchanged> {
+    let mut fresh = !request.found.route.repeat.is_repeatable();
+    loop {
+        let mut connection = request.upstreams.connect(address, fresh).await?;
+        let mut outgoing = http::Request::builder()
+            .method(request.method.clone())
+            .uri(request.path.as_str())
+            .body(Full::new(request.body.clone()))?;
+        *outgoing.headers_mut() = headers.clone();
+        match connection.exchange(outgoing).await {
+            Err(upstream::UpstreamError::Stale(_)) => fresh = true,
+            reply => return Ok((connection, reply?)),
+        }
+    }
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -34,8 +34,6 @@
     Broken(hyper::Error),
     #[error("kept connection was closed: {0}")]
     Stale(hyper::Error),
-    #[error("no answer in time")]
-    Silent,
     #[error("request can't be built: {0}")]
     Unsendable(#[from] http::Error),
 }
