--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -29,6 +29,9 @@
 const IDLE_PRICE: f64 = 0.0005;
 /// Mean backlog at which the price has doubled, ms: a fifth of the tightest objective.
 const PRICE_BACKLOG_MS: f64 = 60.0;
+/// Backlog of one engine that counts at most, ms: one that reads a long prompt alone is of no use
+/// to others, but makes the others no scarcer.
+const MOST_BACKLOG_MS: f64 = 200.0;
 /// Share of a request's worth that a place must gain to be taken while there is time to wait.
 const ACCEPTED_GAIN: f64 = 0.6;
 /// Share of the objective by which a prediction may be off.
@@ -543,7 +546,7 @@
         let mut backlog = 0.0;
         let mut count = 0.0;
         for (_, state) in self.open(service) {
-            backlog += (state.read_free_at - now).max(0.0);
+            backlog += (state.read_free_at - now).clamp(0.0, MOST_BACKLOG_MS);
             count += 1.0;
         }
         let mean: f64 = if count > 0.0 { backlog / count } else { 0.0 };
