Hand the placing role over before its daemon ends, and take no request that the end would cut

Requests taken 4 s after SIGTERM were cut by the end of the process. Ruled out: lost asks. Change: a leaving daemon goes on placing until another one is connected; the greeting tells whether a daemon can place; requests later than 3 s after SIGTERM are refused at once with a short Retry-After.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -22,6 +22,8 @@
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Advice on when to come back to another daemon, ms.
+const ELSEWHERE_RETRY_MS: u64 = 50;
 /// Least size of the buffer for a request head that the HTTP library takes.
 const LEAST_BUFFER: usize = 8_192;
 
@@ -113,6 +115,12 @@
     if !world.has_config() {
         return Err(refuse(answer::OwnAnswer::NotReady));
     }
+    if world.ends_soon() {
+        return Err(refuse(answer::OwnAnswer::NotRun {
+            reason: "shutting_down",
+            retry_after_ms: ELSEWHERE_RETRY_MS,
+        }));
+    }
     let index = world.index();
     let host = parts.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,5 +1,6 @@
 //! Connections between daemons: each keeps one to the daemon that places for it.
 
+use std::cell;
 use std::net;
 use std::rc;
 use std::time::Duration;
@@ -9,11 +10,13 @@
 use model::ids;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task;
 use tokio::time;
 use tokio_util::codec;
 
 use crate::message;
 use crate::message::LinkMessage;
+use crate::message::PlacerState;
 use crate::world;
 
 /// Time that a connection to another daemon may take: some times the longest way between data
@@ -43,8 +46,8 @@
     Closed,
     #[error("silent")]
     Silent,
-    #[error("it does not place now")]
-    NotPlacing,
+    #[error("it can't place")]
+    Unready,
 }
 
 type Result<T> = std::result::Result<T, LinkError>;
@@ -100,15 +103,16 @@
         }
     }
 
-    async fn greet(&mut self) -> Result<(ids::HostId, u64)> {
+    async fn greet(&mut self) -> Result<(ids::HostId, u64, PlacerState)> {
         let hello = LinkMessage::Hello {
             host: self.world.settings().host.clone(),
             life: self.world.life,
+            state: self.world.placer_state(),
         };
         self.send(&hello).await?;
         let reply = time::timeout(DIAL_TIMEOUT, self.receive()).await;
         match reply.map_err(|_| LinkError::Silent)?? {
-            LinkMessage::Hello { host, life } => Ok((host, life)),
+            LinkMessage::Hello { host, life, state } => Ok((host, life, state)),
             _ => Err(LinkError::Closed),
         }
     }
@@ -118,14 +122,14 @@
         LinkMessage::Beat {
             ages_ms: world.ages(),
             sighted: world.is_sighted(),
-            placing: world.is_ready(),
+            state: world.placer_state(),
             follow,
         }
     }
 
     /// Serves a daemon that follows, until it is gone.
     async fn serve_follower(mut self) -> Result<()> {
-        let (host, life) = self.greet().await?;
+        let (host, life, _) = self.greet().await?;
         let (sender, mut outbox) = mpsc::unbounded_channel();
         self.world.add_follower(life, sender);
         log::info!(target: "sardinepaddle", daemon:% = host, life; "daemon connected");
@@ -170,8 +174,8 @@
         }
     }
 
-    /// Follows the daemon that places, until it is lost or another one should place.
-    async fn follow(&mut self, host: &ids::HostId) -> Result<()> {
+    /// Follows the daemon that places, until it is lost.
+    async fn follow(&mut self, host: &ids::HostId, leaving: &cell::Cell<bool>) -> Result<()> {
         let (sender, mut outbox) = mpsc::unbounded_channel();
         let mut changes = self.world.changes();
         self.send_changes().await?;
@@ -184,12 +188,10 @@
             tokio::select! {
                 message = self.receive() => match message? {
                     LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
-                    LinkMessage::Beat { ages_ms, placing, follow, .. } => {
+                    LinkMessage::Beat { ages_ms, state, follow, .. } => {
                         self.world.note_ages(&ages_ms);
                         self.world.set_told_to_follow(follow);
-                        if !placing {
-                            return Err(LinkError::NotPlacing);
-                        }
+                        leaving.set(state == PlacerState::Leaving);
                     }
                     message => self.world.on_placer_message(message),
                 },
@@ -219,7 +221,7 @@
             }
         };
         let world = world.clone();
-        tokio::task::spawn_local(async move {
+        task::spawn_local(async move {
             let link = DaemonLink::new(&world, stream);
             if let Ok(link) = link {
                 // How it ended has been logged.
@@ -229,99 +231,136 @@
     }
 }
 
-/// A connection to the daemon that places, with what ends it.
+/// A connection to the daemon that places.
 struct Following {
     host: ids::HostId,
-    task: tokio::task::JoinHandle<()>,
+    leaving: rc::Rc<cell::Cell<bool>>,
+    task: task::JoinHandle<()>,
+}
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Who is to place from now on.
+enum PlacerChoice {
+    Own,
+    Other(DaemonLink, ids::HostId),
+    Unchanged,
 }
 
 /// Keeps a connection to the daemon that should place, for ever.
 pub(crate) async fn follow_placer(world: rc::Rc<world::DaemonWorld>) {
     let mut following: Option<Following> = None;
     loop {
-        if following
-            .as_ref()
-            .is_some_and(|following| following.task.is_finished())
-        {
-            following = None;
-        }
-        if let Some((host, address)) = wanted(&world, following.as_ref()) {
-            if Some(&host) == world_host(&world).as_ref() {
-                if let Some(following) = following.take() {
-                    following.task.abort();
+        match choose(&world, following.as_ref()).await {
+            PlacerChoice::Unchanged => {}
+            PlacerChoice::Own => {
+                if following.take().is_some() {
                     world.set_role(world::PlacerRole::Own);
                 }
-            } else {
-                match dial(&world, address).await {
-                    Ok((link, host)) => {
-                        if let Some(following) = following.take() {
-                            following.task.abort();
-                        }
-                        let task = tokio::task::spawn_local(keep(link, host.clone()));
-                        following = Some(Following { host, task });
-                    }
-                    Err(error) => {
-                        log::info!(target: "sardinepaddle", daemon:% = host, error:% = error;
-                            "daemon not reached");
-                        world.rank.borrow_mut().pass_over(&host, world.now());
-                        continue;
-                    }
-                }
+            }
+            PlacerChoice::Other(link, host) => {
+                let leaving = rc::Rc::new(cell::Cell::new(false));
+                let task = task::spawn_local(keep(link, host.clone(), leaving.clone()));
+                following = Some(Following {
+                    host,
+                    leaving,
+                    task,
+                });
             }
         }
-        time::sleep(CHOICE_PERIOD).await;
+        let pause = time::sleep(CHOICE_PERIOD);
+        match following.as_mut() {
+            Some(current) => tokio::select! {
+                // It was lost: the next one is looked for at once.
+                _ = &mut current.task => following = None,
+                () = pause => {}
+            },
+            None => pause.await,
+        }
     }
 }
 
-fn world_host(world: &world::DaemonWorld) -> Option<ids::HostId> {
-    Some(world.settings().host.clone())
-}
-
-/// The daemon to connect to, if it is another one than now.
-fn wanted(
+/// Daemons to try, best first: those before the one that places now, or all if it is leaving.
+fn candidates(
     world: &world::DaemonWorld,
     following: Option<&Following>,
-) -> Option<(ids::HostId, net::SocketAddr)> {
+) -> Vec<(ids::HostId, net::SocketAddr)> {
     let settings = world.settings();
     let rank = world.rank.borrow();
+    if rank.daemons().is_empty() && following.is_none() {
+        // Nothing is known of the store: a seed may know more.
+        let seeds = settings.seeds.iter().copied();
+        let others = seeds.filter(|seed| *seed != settings.listen.peers);
+        return others
+            .map(|seed| (ids::HostId::new("seed"), seed))
+            .collect();
+    }
     let now = world.now();
-    if let Some(entry) = rank.placer(now) {
-        let current = following.map(|following| &following.host);
-        let alone = current.is_none() && entry.host == settings.host;
-        let changed = current != Some(&entry.host) && !alone;
-        return changed.then(|| (entry.host.clone(), entry.address));
+    let stays = following.filter(|current| !current.leaving.get());
+    let open = rank
+        .daemons()
+        .iter()
+        .filter(|daemon| !rank.is_passed(&daemon.host, now));
+    open.take_while(|daemon| stays.is_none_or(|current| current.host != daemon.host))
+        .filter(|daemon| following.is_none_or(|current| current.host != daemon.host))
+        .map(|daemon| (daemon.host.clone(), daemon.address))
+        .collect()
+}
+
+async fn choose(world: &rc::Rc<world::DaemonWorld>, following: Option<&Following>) -> PlacerChoice {
+    let own = world.settings().host.clone();
+    let mut last_resort = None;
+    for (host, address) in candidates(world, following) {
+        if host == own {
+            if world.is_ready() {
+                return PlacerChoice::Own;
+            }
+            continue;
+        }
+        let error = match dial(world, address).await {
+            Ok((link, host, PlacerState::Placing)) => return PlacerChoice::Other(link, host),
+            Ok((link, host, PlacerState::Leaving)) => {
+                last_resort.get_or_insert((link, host));
+                None
+            }
+            Ok((_, _, PlacerState::Unready)) => Some(LinkError::Unready),
+            Err(error) => Some(error),
+        };
+        if let Some(error) = error {
+            log::info!(target: "sardinepaddle", daemon:% = host, error:% = error;
+                "daemon not reached");
+        }
+        world.rank.borrow_mut().pass_over(&host, world.now());
     }
-    if following.is_some() || !rank.daemons().is_empty() {
-        return None;
+    match last_resort {
+        Some((link, host)) if following.is_none() && !world.is_ready() => {
+            PlacerChoice::Other(link, host)
+        }
+        _ => PlacerChoice::Unchanged,
     }
-    // Nothing is known of the store: a seed may know more.
-    let others = settings
-        .seeds
-        .iter()
-        .filter(|seed| **seed != settings.listen.peers);
-    let others: Vec<&net::SocketAddr> = others.collect();
-    let draw = (now / 300.0) as usize;
-    let seed = others.get(draw % others.len().max(1))?;
-    Some((ids::HostId::new("seed"), **seed))
 }
 
 async fn dial(
     world: &rc::Rc<world::DaemonWorld>,
     address: net::SocketAddr,
-) -> Result<(DaemonLink, ids::HostId)> {
+) -> Result<(DaemonLink, ids::HostId, PlacerState)> {
     let stream = time::timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| LinkError::Dial("timed out".to_owned()))?;
     let stream = stream.map_err(|error| LinkError::Dial(error.to_string()))?;
     let mut link = DaemonLink::new(world, stream)?;
-    let (host, _) = link.greet().await?;
-    Ok((link, host))
+    let (host, _, state) = link.greet().await?;
+    Ok((link, host, state))
 }
 
 /// Follows over a connection; when it is lost, this daemon places for itself until the next.
-async fn keep(mut link: DaemonLink, host: ids::HostId) {
+async fn keep(mut link: DaemonLink, host: ids::HostId, leaving: rc::Rc<cell::Cell<bool>>) {
     let world = link.world.clone();
     world.rank.borrow_mut().heard(&host);
-    if let Err(error) = link.follow(&host).await {
+    if let Err(error) = link.follow(&host, &leaving).await {
         log::warn!(target: "sardinepaddle", daemon:% = host, error:% = error;
             "placing daemon lost");
         world.rank.borrow_mut().pass_over(&host, world.now());
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,6 +10,17 @@
 /// Most bytes of one message: a configuration of some thousand routes fits several times.
 const MOST_BYTES: usize = 16 * 1024 * 1024;
 
+/// Whether a daemon can place requests for others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PlacerState {
+    /// It can.
+    Placing,
+    /// It can, but is about to end.
+    Leaving,
+    /// It can't: it knows no configuration yet.
+    Unready,
+}
+
 /// A message between two daemons.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum LinkMessage {
@@ -19,6 +30,8 @@
         host: ids::HostId,
         /// This life of its process.
         life: u64,
+        /// Whether it can place requests.
+        state: PlacerState,
     },
     /// Objects of the store.
     Objects(Vec<replica::ReplicaObject>),
@@ -29,7 +42,7 @@
         /// Whether the sender reaches the store, as far as it knows.
         sighted: bool,
         /// Whether the sender can place requests.
-        placing: bool,
+        state: PlacerState,
         /// Whether the receiver is to follow the store for others.
         follow: bool,
     },
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -27,6 +27,9 @@
 /// Time that a message between daemons takes at most as a rule, ms: told ages grow by it, so that
 /// what is passed around does not stay young.
 const TRANSIT_MS: f64 = 5.0;
+/// Time after SIGTERM for which new requests are taken, ms: the balancer has noticed by then, and
+/// later ones might be cut by the end of the process.
+const LAST_ACCEPTED_MS: f64 = 3_000.0;
 /// Time after which an ask that met neither verdict nor word that it waits goes elsewhere, ms:
 /// some times the slowest exchange between two daemons that run.
 const ASK_PATIENCE_MS: f64 = 250.0;
@@ -83,7 +86,8 @@
     followers: cell::RefCell<map::HashMap<u64, mpsc::UnboundedSender<message::LinkMessage>>>,
     /// Number of the newest change of the replica.
     changes: watch::Sender<u64>,
-    leaving: cell::Cell<bool>,
+    /// When the process was asked to end, ms.
+    leaving_since: cell::Cell<Option<f64>>,
     /// Kinds on which the last call to the store failed.
     blind: cell::RefCell<[bool; KINDS]>,
     /// Connected followers, and whether they reach the store.
@@ -128,7 +132,7 @@
             running: cell::RefCell::default(),
             followers: cell::RefCell::default(),
             changes: watch::Sender::new(0),
-            leaving: cell::Cell::new(false),
+            leaving_since: cell::Cell::new(None),
             blind: cell::RefCell::default(),
             sights: cell::RefCell::default(),
             told_to_follow: cell::Cell::new(false),
@@ -159,17 +163,32 @@
 
     /// Whether new requests are welcome here.
     pub fn is_ready(&self) -> bool {
-        self.has_config() && !self.leaving.get()
+        self.has_config() && !self.is_leaving()
     }
 
     /// Whether the process was asked to end.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.leaving_since.get().is_some()
+    }
+
+    /// Whether the process ends so soon that a new request might not be finished.
+    pub fn ends_soon(&self) -> bool {
+        let since = self.leaving_since.get();
+        since.is_some_and(|since| self.now() - since > LAST_ACCEPTED_MS)
+    }
+
+    /// Whether this daemon can place for others.
+    pub fn placer_state(&self) -> message::PlacerState {
+        match (self.has_config(), self.is_leaving()) {
+            (false, _) => message::PlacerState::Unready,
+            (true, true) => message::PlacerState::Leaving,
+            (true, false) => message::PlacerState::Placing,
+        }
     }
 
     /// The process was asked to end.
     pub fn leave(&self) {
-        self.leaving.set(true);
+        self.leaving_since.set(Some(self.now()));
     }
 
     /// Age of what is known of the configuration and the endpoints, ms.
@@ -500,19 +519,24 @@
         }
     }
 
+    /// What is asked, with the times that are left now.
+    fn remaining_ask(&self, job: job::JobId) -> Option<job::PlaceAsk> {
+        let mut pending = self.pending.borrow_mut();
+        let entry = pending.get_mut(&job)?;
+        let passed = self.now() - entry.asked_at;
+        entry.asked_at += passed;
+        entry.ask.objective_ms -= passed;
+        entry.ask.left_ms -= passed;
+        Some(entry.ask.clone())
+    }
+
     fn place_here(&self, job: job::JobId) {
-        let ask = {
-            let mut pending = self.pending.borrow_mut();
-            let Some(entry) = pending.get_mut(&job) else {
-                return;
-            };
-            entry.remote = false;
-            let passed = self.now() - entry.asked_at;
-            let mut ask = entry.ask.clone();
-            ask.objective_ms -= passed;
-            ask.left_ms -= passed;
-            ask
+        let Some(ask) = self.remaining_ask(job) else {
+            return;
         };
+        if let Some(entry) = self.pending.borrow_mut().get_mut(&job) {
+            entry.remote = false;
+        }
         self.placer.borrow_mut().ask(self.now(), job, ask);
         self.pass_verdicts();
     }
@@ -577,13 +601,14 @@
     }
 
     fn move_ask(&self, job: job::JobId) {
-        let (ask, was_remote) = {
-            let pending = self.pending.borrow();
-            let Some(entry) = pending.get(&job) else {
-                return;
-            };
-            (entry.ask.clone(), entry.remote)
+        let Some(ask) = self.remaining_ask(job) else {
+            return;
         };
+        let was_remote = self
+            .pending
+            .borrow()
+            .get(&job)
+            .is_some_and(|entry| entry.remote);
         if !was_remote {
             return;
         }
@@ -593,7 +618,6 @@
         }
         if let Some(entry) = self.pending.borrow_mut().get_mut(&job) {
             entry.queued = false;
-            entry.asked_at = self.now();
         }
     }
 
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -56,7 +56,8 @@
         self.passed.remove(host);
     }
 
-    fn is_passed(&self, host: &ids::HostId, now: f64) -> bool {
+    /// Whether a daemon is passed over now.
+    pub fn is_passed(&self, host: &ids::HostId, now: f64) -> bool {
         let entry = self.passed.get(host);
         entry.is_some_and(|entry| now < entry.until)
     }
--- a/crates/pool/tests/rank.rs
+++ b/crates/pool/tests/rank.rs
@@ -15,7 +15,11 @@
 
 fn three_daemons() -> rank::DaemonRank {
     let mut daemons = rank::DaemonRank::default();
-    daemons.set(&[entry("a1", "a", 250), entry("a2", "a", 250), entry("b1", "b", 500)]);
+    daemons.set(&[
+        entry("a1", "a", 250),
+        entry("a2", "a", 250),
+        entry("b1", "b", 500),
+    ]);
     daemons
 }
 
