--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -554,6 +554,7 @@
             objective_ms: request.arrived + full_objective_ms - now,
             full_objective_ms,
             pause_ms: millis(route.pause_objective),
+            patience_ms: request.patience_ms(),
             left_ms: request.left_ms(),
             priority: request.found.priority,
             avoid: self.avoid.clone(),
--- a/crates/pool/src/engine.rs
+++ b/crates/pool/src/engine.rs
@@ -34,14 +34,7 @@
     step * f64::from(profile.stride)
 }
 
-/// Most time that reading can add to one pass, ms.
-pub fn most_read_ms(profile: &serving::EngineProfile) -> f64 {
-    let tokens = f64::from(profile.stride) * f64::from(profile.chunk_tokens);
-    // Pairs add about as much again on prompts that fill a pass.
-    2.0 * tokens / profile.read_tokens_per_ms
-}
-
-/// Passes that an answer of some tokens takes.
-pub fn passes(profile: &serving::EngineProfile, answer_tokens: u64) -> f64 {
-    (answer_tokens as f64 / f64::from(profile.stride)).max(1.0)
+/// Most time that reading can add to one pass, ms, where a token takes `token_ms` to read.
+pub fn most_read_ms(profile: &serving::EngineProfile, token_ms: f64) -> f64 {
+    f64::from(profile.stride) * f64::from(profile.chunk_tokens) * token_ms
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -49,6 +49,8 @@
     pub full_objective_ms: f64,
     /// Longest pause between events that is on time, ms; zero if it has none.
     pub pause_ms: f64,
+    /// Pause at which its caller gives up, ms.
+    pub patience_ms: f64,
     /// Time left until it must be over, ms.
     pub left_ms: f64,
     /// Rank; zero goes first.
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -34,6 +34,8 @@
 const MOST_BACKLOG_MS: f64 = 200.0;
 /// Share of a request's worth that a place must gain to be taken while there is time to wait.
 const ACCEPTED_GAIN: f64 = 0.6;
+/// Share of the objective over which that share falls to nothing: engines clear within some passes.
+const CHOOSY_SHARE: f64 = 0.15;
 /// Share of the objective by which a prediction may be off.
 const UNCERTAINTY: f64 = 0.12;
 /// Share of an engine's memory that is given out; the rest covers answers longer than guessed.
@@ -91,6 +93,8 @@
 struct MemberShare {
     endpoint: ids::EndpointId,
     read_ms: f64,
+    /// Time that a token of its part takes, ms: longer prompts have more pairs a token.
+    token_ms: f64,
     read_until: f64,
     memory: u64,
 }
@@ -106,6 +110,12 @@
     gone_at: f64,
     first_event_at: f64,
     started: bool,
+    /// Chance that it is late already, by its first event or by a pause.
+    lost: f64,
+    /// Chance that its caller gives up for a pause.
+    cut: f64,
+    /// Pause at which its caller gives up, ms.
+    patience_ms: f64,
     context: u64,
     members: Vec<MemberShare>,
 }
@@ -115,6 +125,7 @@
     job: job::JobId,
     ask: job::PlaceAsk,
     value: f64,
+    asked_at: f64,
     objective_at: f64,
     gone_at: f64,
     /// Time to the first event on idle endpoints, ms.
@@ -227,6 +238,7 @@
         let waiting = WaitingAsk {
             job,
             value,
+            asked_at: now,
             objective_at: now + ask.objective_ms,
             gone_at: now + ask.left_ms,
             best_ms,
@@ -268,6 +280,7 @@
             job: running.job,
             ask: ask.clone(),
             value,
+            asked_at: now,
             objective_at: now + ask.objective_ms,
             gone_at: now + ask.left_ms,
             best_ms: 0.0,
@@ -284,6 +297,9 @@
             return;
         };
         job.started = true;
+        if now + NETWORK_MS / 2.0 > job.objective_at {
+            job.lost = 1.0;
+        }
         for share in &mut job.members {
             let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
                 continue;
@@ -376,12 +392,11 @@
             }
         };
         let slack = waiting.objective_at - now - waiting.best_ms;
+        let waited = now - waiting.asked_at;
+        let patience = CHOOSY_SHARE * waiting.ask.full_objective_ms;
+        let choosy = if slack > 0.0 { 1.0 - waited / patience.max(1.0) } else { 0.0 };
+        let floor = ACCEPTED_GAIN * choosy.max(0.0) * waiting.value;
         let worth_it = |choice: &PlanChoice| {
-            let floor = if slack > 0.0 {
-                ACCEPTED_GAIN * waiting.value
-            } else {
-                0.0
-            };
             choice.gain > floor
         };
         if let Some(choice) = choice.filter(worth_it) {
@@ -509,6 +524,7 @@
         let shares = vec![MemberShare {
             endpoint: state.live.id.clone(),
             read_ms: 0.0,
+            token_ms: 0.0,
             read_until: now,
             memory: 0,
         }];
@@ -563,6 +579,7 @@
             state,
             backlog_ms: (state.read_free_at - now).max(0.0),
             pass_ms: 0.0,
+            token_ms: 0.0,
             generating: Vec::new(),
             reading: Vec::new(),
             first_here: 0,
@@ -572,21 +589,27 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
+            let unread = job.members.iter().find(|share| {
+                share.endpoint == state.live.id && share.read_until > now && !job.started
+            });
+            load.token_ms = load.token_ms.max(unread.map_or(0.0, |share| share.token_ms));
             let here = job.members.first();
             let first = here.is_some_and(|share| share.endpoint == state.live.id);
             if first {
                 load.first_here += 1;
                 context += job.context;
-                let late = value::LATE_SHARE;
                 if job.started || now >= job.first_event_at {
-                    load.generating
-                        .push((job.pause_ms, job.value * (1.0 - late)));
+                    load.generating.push(GeneratingJob {
+                        pause_ms: job.pause_ms,
+                        late_loss: job.at_stake(),
+                        patience_ms: job.patience_ms,
+                        cut_loss: job.rest_at_stake(),
+                    });
                 }
             }
             if !job.started {
                 let spare = job.objective_at - job.first_event_at.max(now);
-                load.reading
-                    .push((spare, job.value * (1.0 - value::LATE_SHARE)));
+                load.reading.push((spare, job.at_stake()));
             }
         }
         load.pass_ms = engine::pass_ms(profile, load.generating.len() + 1, context);
@@ -607,14 +630,19 @@
         };
         let answer = answer_tokens(&waiting.ask.shape);
         let read_ms = engine::read_ms(profile, tokens, spread);
-        let most_read = engine::most_read_ms(profile);
+        let token_ms = read_ms * spread as f64 / tokens.max(1) as f64;
+        let addition = ReadAddition {
+            read_ms,
+            token_ms,
+            ahead: spread > 1,
+        };
         let left = (waiting.objective_at - now).max(100.0);
         let wait_price = waiting.value / left;
         let mut ranked: Vec<(f64, &EngineLoad<'_>)> = loads
             .iter()
             .filter(|load| load.state.jobs.len() < load.state.live.slots as usize)
             .map(|load| {
-                let harm = load.harm(read_ms, spread > 1, most_read);
+                let harm = load.harm(profile, &addition);
                 let trouble = load.state.trouble.share(now) * waiting.value;
                 let away = load.state.live.centre != waiting.ask.centre;
                 let distance = if away { CROSS_CENTRE_PRICE } else { 0.0 };
@@ -662,7 +690,7 @@
         let sum: f64 = ranked
             .iter()
             .map(|(_, load)| {
-                load.harm(read_ms, spread > 1, most_read)
+                load.harm(profile, &addition)
                     + load.state.trouble.share(now) * waiting.value / spread as f64
             })
             .sum();
@@ -671,6 +699,7 @@
         let share = |load: &EngineLoad<'_>, memory: u64| MemberShare {
             endpoint: load.state.live.id.clone(),
             read_ms,
+            token_ms,
             read_until: now + load.start_ms() + read_ms,
             memory,
         };
@@ -713,13 +742,41 @@
             .map(|(member, memory)| MemberShare {
                 endpoint: member.endpoint.clone(),
                 read_ms,
+                token_ms: read_ms * members as f64 / (need.max(1) as f64),
                 read_until: now + read_ms,
                 memory,
             })
             .collect()
     }
 
+    /// Notes which requests a new read on their engine makes late.
+    fn note_pauses(&mut self, now: f64, waiting: &WaitingAsk, shares: &[MemberShare]) {
+        let profile = self.services.get(&waiting.ask.service).cloned();
+        let Some(engine) = profile.as_ref().and_then(|profile| profile.engine.as_ref()) else {
+            return;
+        };
+        for share in shares {
+            let Some(state) = self.endpoints.get(&share.endpoint) else {
+                continue;
+            };
+            let load = self.engine_load(now, state, engine);
+            let pause = load.pause_ms(engine, share.read_ms, share.token_ms);
+            for id in state.jobs.clone() {
+                let Some(job) = self.jobs.get_mut(&id) else {
+                    continue;
+                };
+                let first = job.members.first();
+                let here = first.is_some_and(|first| first.endpoint == share.endpoint);
+                if here && (job.started || now >= job.first_event_at) {
+                    job.lost = job.lost.max(late_chance(pause, job.pause_ms));
+                    job.cut = job.cut.max(late_chance(pause, job.patience_ms));
+                }
+            }
+        }
+    }
+
     fn place(&mut self, now: f64, waiting: &WaitingAsk, shares: Vec<MemberShare>, predicted: f64) {
+        self.note_pauses(now, waiting, &shares);
         for share in &shares {
             let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
                 continue;
@@ -743,6 +800,9 @@
             gone_at: waiting.gone_at,
             first_event_at: now + predicted - NETWORK_MS,
             started: false,
+            lost: on_time_loss(predicted, waiting.objective_at - now),
+            cut: 0.0,
+            patience_ms: waiting.ask.patience_ms,
             context,
             members: shares,
         };
@@ -792,8 +852,9 @@
     state: &'a EndpointState,
     backlog_ms: f64,
     pass_ms: f64,
-    /// Longest pause on time and what is lost beyond it, for each request that generates here.
-    generating: Vec<(f64, f64)>,
+    /// Longest time that a token takes of what is still to be read here, ms.
+    token_ms: f64,
+    generating: Vec<GeneratingJob>,
     /// Time to spare and what is lost beyond it, for each request that is read here.
     reading: Vec<(f64, f64)>,
     /// Requests that this engine generates for, or will.
@@ -810,22 +871,64 @@
         }
     }
 
-    /// What the requests here lose if `read_ms` of reading is added, ahead of theirs or not.
-    fn harm(&self, read_ms: f64, ahead: bool, most_read: f64) -> f64 {
-        let before = self.pass_ms + self.backlog_ms.min(most_read);
-        let after = self.pass_ms + (self.backlog_ms + read_ms).min(most_read);
+    /// Longest pause here if some reading is added, ms.
+    fn pause_ms(&self, profile: &serving::EngineProfile, read_ms: f64, token_ms: f64) -> f64 {
+        let most = engine::most_read_ms(profile, self.token_ms.max(token_ms));
+        self.pass_ms + (self.backlog_ms + read_ms).min(most)
+    }
+
+    /// What the requests here lose by added reading.
+    fn harm(&self, profile: &serving::EngineProfile, addition: &ReadAddition) -> f64 {
+        let before = self.pause_ms(profile, 0.0, 0.0);
+        let after = self.pause_ms(profile, addition.read_ms, addition.token_ms);
+        let more = |bound: f64| late_chance(after, bound) - late_chance(before, bound);
         let pauses = self
             .generating
             .iter()
-            .map(|(pause, loss)| (late_chance(after, *pause) - late_chance(before, *pause)) * loss);
+            .map(|job| more(job.pause_ms) * job.late_loss + more(job.patience_ms) * job.cut_loss);
         let delays = self.reading.iter().map(|(spare, loss)| {
-            let delayed = ahead && *spare > 0.0 && *spare < read_ms;
+            let delayed = addition.ahead && *spare > 0.0 && *spare < addition.read_ms;
             if delayed { *loss } else { 0.0 }
         });
         pauses.sum::<f64>() + delays.sum::<f64>()
     }
 }
 
+/// Reading that is to be added to an engine.
+struct ReadAddition {
+    read_ms: f64,
+    token_ms: f64,
+    /// Whether it goes ahead of what waits there.
+    ahead: bool,
+}
+
+/// A request that generates, and what it loses by pauses.
+struct GeneratingJob {
+    /// Longest pause that is on time, ms.
+    pause_ms: f64,
+    late_loss: f64,
+    /// Pause at which its caller gives up, ms.
+    patience_ms: f64,
+    cut_loss: f64,
+}
+
+impl PlacedJob {
+    /// Worth that it loses if it gets late.
+    fn at_stake(&self) -> f64 {
+        self.value * (1.0 - value::LATE_SHARE) * (1.0 - self.lost)
+    }
+
+    /// Worth that is left if it is late, and lost if its caller gives up.
+    fn rest_at_stake(&self) -> f64 {
+        self.value * value::LATE_SHARE * (1.0 - self.cut)
+    }
+}
+
+/// Chance that a first event is late, from its prediction.
+fn on_time_loss(predicted: f64, objective: f64) -> f64 {
+    late_chance(predicted, objective.max(1.0))
+}
+
 /// Chance that a pause is over its bound, from its prediction.
 fn late_chance(predicted: f64, bound: f64) -> f64 {
     if bound <= 0.0 {
@@ -840,7 +943,7 @@
     if predicted >= left {
         return 0.0;
     }
-    let late = late_chance(predicted, objective.max(1.0));
+    let late = on_time_loss(predicted, objective);
     1.0 - late * (1.0 - value::LATE_SHARE)
 }
 
