--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -394,11 +394,13 @@
         let slack = waiting.objective_at - now - waiting.best_ms;
         let waited = now - waiting.asked_at;
         let patience = CHOOSY_SHARE * waiting.ask.full_objective_ms;
-        let choosy = if slack > 0.0 { 1.0 - waited / patience.max(1.0) } else { 0.0 };
-        let floor = ACCEPTED_GAIN * choosy.max(0.0) * waiting.value;
-        let worth_it = |choice: &PlanChoice| {
-            choice.gain > floor
+        let choosy = if slack > 0.0 {
+            1.0 - waited / patience.max(1.0)
+        } else {
+            0.0
         };
+        let floor = ACCEPTED_GAIN * choosy.max(0.0) * waiting.value;
+        let worth_it = |choice: &PlanChoice| choice.gain > floor;
         if let Some(choice) = choice.filter(worth_it) {
             let predicted = choice.plan.predicted_ms;
             self.place(now, waiting, choice.shares, predicted);
@@ -592,20 +594,21 @@
             let unread = job.members.iter().find(|share| {
                 share.endpoint == state.live.id && share.read_until > now && !job.started
             });
-            load.token_ms = load.token_ms.max(unread.map_or(0.0, |share| share.token_ms));
+            load.token_ms = load
+                .token_ms
+                .max(unread.map_or(0.0, |share| share.token_ms));
             let here = job.members.first();
             let first = here.is_some_and(|share| share.endpoint == state.live.id);
             if first {
                 load.first_here += 1;
                 context += job.context;
-                if job.started || now >= job.first_event_at {
-                    load.generating.push(GeneratingJob {
-                        pause_ms: job.pause_ms,
-                        late_loss: job.at_stake(),
-                        patience_ms: job.patience_ms,
-                        cut_loss: job.rest_at_stake(),
-                    });
-                }
+                load.generating.push(GeneratingJob {
+                    pending_ms: job.pending_ms(now, state),
+                    pause_ms: job.pause_ms,
+                    late_loss: job.at_stake(),
+                    patience_ms: job.patience_ms,
+                    cut_loss: job.rest_at_stake(),
+                });
             }
             if !job.started {
                 let spare = job.objective_at - job.first_event_at.max(now);
@@ -655,9 +658,23 @@
             return None;
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        ranked.truncate(spread);
         let room = |load: &EngineLoad<'_>| load.state.memory_free(profile);
         let need = tokens + answer + RESERVE_MARGIN;
+        if ranked[..spread].iter().all(|(_, load)| room(load) < need) {
+            // Those with most room come first, as many as the prompt needs.
+            let mut by_room: Vec<usize> = (0..ranked.len()).collect();
+            by_room.sort_by_key(|index| std::cmp::Reverse(room(ranked[*index].1)));
+            let mut missing = need;
+            for index in by_room {
+                if missing == 0 {
+                    break;
+                }
+                missing = missing.saturating_sub(room(ranked[index].1));
+                ranked[index].0 = f64::NEG_INFINITY;
+            }
+            ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        }
+        ranked.truncate(spread);
         // The endpoint that gets the request also generates: the one with the shortest pass of
         // those with room, or else the one with most room.
         let fitting = ranked.iter().filter(|(_, load)| room(load) >= need);
@@ -760,14 +777,17 @@
                 continue;
             };
             let load = self.engine_load(now, state, engine);
-            let pause = load.pause_ms(engine, share.read_ms, share.token_ms);
-            for id in state.jobs.clone() {
-                let Some(job) = self.jobs.get_mut(&id) else {
+            let (pass_ms, token_ms) = (load.pass_ms, load.token_ms.max(share.token_ms));
+            let most = engine::most_read_ms(engine, token_ms);
+            let state = state.clone();
+            for id in &state.jobs {
+                let Some(job) = self.jobs.get_mut(id) else {
                     continue;
                 };
                 let first = job.members.first();
-                let here = first.is_some_and(|first| first.endpoint == share.endpoint);
-                if here && (job.started || now >= job.first_event_at) {
+                if first.is_some_and(|first| first.endpoint == share.endpoint) {
+                    let pending = job.pending_ms(now, &state) + share.read_ms;
+                    let pause = pass_ms + pending.min(most);
                     job.lost = job.lost.max(late_chance(pause, job.pause_ms));
                     job.cut = job.cut.max(late_chance(pause, job.patience_ms));
                 }
@@ -871,21 +891,15 @@
         }
     }
 
-    /// Longest pause here if some reading is added, ms.
-    fn pause_ms(&self, profile: &serving::EngineProfile, read_ms: f64, token_ms: f64) -> f64 {
-        let most = engine::most_read_ms(profile, self.token_ms.max(token_ms));
-        self.pass_ms + (self.backlog_ms + read_ms).min(most)
-    }
-
     /// What the requests here lose by added reading.
     fn harm(&self, profile: &serving::EngineProfile, addition: &ReadAddition) -> f64 {
-        let before = self.pause_ms(profile, 0.0, 0.0);
-        let after = self.pause_ms(profile, addition.read_ms, addition.token_ms);
-        let more = |bound: f64| late_chance(after, bound) - late_chance(before, bound);
-        let pauses = self
-            .generating
-            .iter()
-            .map(|job| more(job.pause_ms) * job.late_loss + more(job.patience_ms) * job.cut_loss);
+        let most = engine::most_read_ms(profile, self.token_ms.max(addition.token_ms));
+        let pauses = self.generating.iter().map(|job| {
+            let before = self.pass_ms + job.pending_ms.min(most);
+            let after = self.pass_ms + (job.pending_ms + addition.read_ms).min(most);
+            let more = |bound: f64| late_chance(after, bound) - late_chance(before, bound);
+            more(job.pause_ms) * job.late_loss + more(job.patience_ms) * job.cut_loss
+        });
         let delays = self.reading.iter().map(|(spare, loss)| {
             let delayed = addition.ahead && *spare > 0.0 && *spare < addition.read_ms;
             if delayed { *loss } else { 0.0 }
@@ -904,6 +918,8 @@
 
 /// A request that generates, and what it loses by pauses.
 struct GeneratingJob {
+    /// Reading that was placed here and falls into its generation, ms.
+    pending_ms: f64,
     /// Longest pause that is on time, ms.
     pause_ms: f64,
     late_loss: f64,
@@ -913,6 +929,13 @@
 }
 
 impl PlacedJob {
+    /// Reading placed on its engine that falls into its generation, ms.
+    fn pending_ms(&self, now: f64, state: &EndpointState) -> f64 {
+        let read = self.members.first().map_or(now, |share| share.read_until);
+        let from = if self.started { now } else { read.max(now) };
+        (state.read_free_at - from).max(0.0)
+    }
+
     /// Worth that it loses if it gets late.
     fn at_stake(&self) -> f64 {
         self.value * (1.0 - value::LATE_SHARE) * (1.0 - self.lost)
--- /dev/null
+++ b/crates/pool/tests/placer.rs
@@ -0,0 +1,261 @@
+//! Single decisions of the placer.
+
+#[path = "support/figures.rs"]
+mod figures;
+
+use std::sync;
+use std::time;
+
+use model::ids;
+use model::map;
+use model::serving;
+use sardinepaddle_pool::job;
+use sardinepaddle_pool::placer;
+use sardinepaddle_pool::trouble;
+
+const NOW: f64 = 1_000.0;
+
+fn engines(count: usize) -> Vec<serving::LiveEndpoint> {
+    let engine = |index: usize| serving::LiveEndpoint {
+        id: ids::EndpointId::new(&format!("e{index}")),
+        service: ids::ServiceId::new("llm"),
+        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+        centre: ids::CentreId::new("a"),
+        slots: 16,
+        leaving: false,
+        cold_left: time::Duration::ZERO,
+        born_ms: 0,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn pool(count: usize, cold_rate: f64) -> placer::JobPlacer {
+    let mut placer = placer::JobPlacer::new(placer::PlacerBounds {
+        retry_ratio: 0.2,
+        retry_extra: 3.0,
+        retry_window_ms: 10_000.0,
+        cold_factor: 1.5,
+        cold_extra: 5.0,
+    });
+    let service = ids::ServiceId::new("llm");
+    let profile = serving::ServiceProfile {
+        service: service.clone(),
+        connections: 300,
+        cold_rate,
+        engine: Some(figures::profile(16, 51)),
+    };
+    let mut services = map::HashMap::default();
+    services.insert(service, sync::Arc::new(profile));
+    placer.set_services(&services);
+    placer.set_endpoints(0.0, &engines(count), &[]);
+    placer
+}
+
+fn prompt(route: &str, tokens: u64, objective_ms: f64) -> job::PlaceAsk {
+    job::PlaceAsk {
+        route: route.to_owned(),
+        service: ids::ServiceId::new("llm"),
+        shape: job::JobShape::Prompt {
+            tokens,
+            answer_tokens: 1_000,
+            answer_guess: None,
+        },
+        centre: ids::CentreId::new("a"),
+        objective_ms,
+        full_objective_ms: objective_ms,
+        pause_ms: 250.0,
+        patience_ms: 2_000.0,
+        left_ms: 10_000.0,
+        priority: 1,
+        avoid: Vec::new(),
+        repeat: false,
+    }
+}
+
+fn number(number: u64) -> job::JobId {
+    job::JobId { life: 1, number }
+}
+
+fn verdict(placer: &mut placer::JobPlacer, job: job::JobId) -> Option<job::PlaceVerdict> {
+    let verdicts = placer.take_verdicts();
+    let own = verdicts.into_iter().find(|(other, _)| *other == job);
+    own.map(|(_, verdict)| verdict)
+}
+
+fn plan(placer: &mut placer::JobPlacer, job: job::JobId) -> job::PlacePlan {
+    match verdict(placer, job) {
+        Some(job::PlaceVerdict::Placed(plan)) => plan,
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+#[test]
+fn a_short_prompt_goes_to_an_idle_engine_at_once() {
+    let mut placer = pool(3, 26.0);
+    placer.ask(NOW, number(1), prompt("short", 5_000, 300.0));
+    let first = plan(&mut placer, number(1));
+    placer.ask(NOW, number(2), prompt("short", 5_000, 300.0));
+    let second = plan(&mut placer, number(2));
+    assert!(first.helpers.is_empty());
+    assert_ne!(first.first.endpoint, second.first.endpoint);
+}
+
+#[test]
+fn a_long_prompt_is_read_by_several_engines() {
+    let mut placer = pool(8, 26.0);
+    placer.ask(NOW, number(1), prompt("long", 154_000, 3_000.0));
+    let plan = plan(&mut placer, number(1));
+    assert!(!plan.helpers.is_empty());
+    assert!(plan.predicted_ms < 3_000.0);
+}
+
+// Such prompts got no place unless the members chosen by load happened to have the room: the
+// largest tenth of a kind was served less than half as often as the kind.
+#[test]
+fn a_prompt_beyond_one_engine_reserves_memory_on_others() {
+    let mut placer = pool(8, 26.0);
+    for index in 0..16 {
+        placer.ask(NOW, number(index), prompt("middle", 40_000, 1_500.0));
+        placer.tick(NOW);
+    }
+    placer.take_verdicts();
+    let job = number(100);
+    placer.ask(NOW + 1_400.0, job, prompt("long", 400_000, 9_000.0));
+    placer.tick(NOW + 1_600.0);
+    placer.tick(NOW + 2_800.0);
+    let plan = plan(&mut placer, job);
+    let reserved: u64 = plan
+        .helpers
+        .iter()
+        .map(|helper| helper.reserve_tokens)
+        .sum();
+    assert!(reserved > 401_000 - 300_000, "reserved {reserved}");
+}
+
+#[test]
+fn a_prompt_beyond_all_engines_is_declined_at_once() {
+    let mut placer = pool(2, 26.0);
+    placer.ask(NOW, number(1), prompt("long", 800_000, 3_000.0));
+    let declined = verdict(&mut placer, number(1));
+    let reason = match declined {
+        Some(job::PlaceVerdict::Declined { reason, .. }) => reason,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(reason, job::DeclineReason::TooLarge);
+}
+
+#[test]
+fn a_short_prompt_keeps_clear_of_an_engine_that_reads_a_long_one() {
+    let mut placer = pool(2, 26.0);
+    let mut long = prompt("long", 120_000, 60_000.0);
+    // Only one engine is to read it.
+    long.avoid.push(ids::EndpointId::new("e1"));
+    placer.ask(NOW, number(1), long);
+    let reading = plan(&mut placer, number(1)).first.endpoint;
+    for index in 2..5 {
+        placer.ask(NOW, number(index), prompt("short", 5_000, 300.0));
+        let short = plan(&mut placer, number(index));
+        assert_ne!(short.first.endpoint, reading);
+    }
+}
+
+#[test]
+fn what_waits_is_declined_once_no_place_can_serve_it_in_time() {
+    let mut placer = pool(1, 26.0);
+    let mut long = prompt("long", 200_000, 60_000.0);
+    long.left_ms = 60_000.0;
+    placer.ask(NOW, number(1), long);
+    plan(&mut placer, number(1));
+    placer.ask(NOW, number(2), prompt("short", 5_000, 300.0));
+    assert_eq!(verdict(&mut placer, number(2)), None);
+    placer.tick(NOW + 600.0);
+    let declined = verdict(&mut placer, number(2));
+    assert!(
+        matches!(declined, Some(job::PlaceVerdict::Declined { retry_after_ms, .. }) if retry_after_ms > 0),
+        "{declined:?}"
+    );
+}
+
+#[test]
+fn an_endpoint_gets_no_more_a_second_than_a_cold_one_bears() {
+    let mut placer = pool(1, 4.0);
+    let mut placed = 0;
+    for index in 0..20 {
+        let now = NOW + index as f64;
+        placer.ask(now, number(index), prompt("short", 1_000, 300.0));
+        placed += usize::from(verdict(&mut placer, number(index)).is_some());
+        placer.withdraw(now, number(index));
+    }
+    // 4 a second times 1.5, and 5: 11.
+    assert!(placed <= 11, "{placed}");
+}
+
+#[test]
+fn leaving_and_closed_endpoints_get_nothing() {
+    let mut placer = pool(2, 26.0);
+    let mut listed = engines(2);
+    listed[0].leaving = true;
+    listed[1].centre = ids::CentreId::new("b");
+    placer.set_endpoints(NOW, &listed, &[ids::CentreId::new("b")]);
+    placer.ask(NOW, number(1), prompt("short", 5_000, 300.0));
+    let declined = verdict(&mut placer, number(1));
+    let reason = match declined {
+        Some(job::PlaceVerdict::Declined { reason, .. }) => reason,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(reason, job::DeclineReason::NoEndpoint);
+}
+
+#[test]
+fn repeats_beyond_the_budget_are_declined() {
+    let mut placer = pool(4, 26.0);
+    let mut outcomes = Vec::new();
+    for index in 0..6 {
+        let mut ask = prompt("short", 1_000, 300.0);
+        ask.repeat = true;
+        placer.ask(NOW, number(index), ask);
+        let placed = matches!(
+            verdict(&mut placer, number(index)),
+            Some(job::PlaceVerdict::Placed(_))
+        );
+        outcomes.push(placed);
+    }
+    assert_eq!(outcomes, [true, true, true, false, false, false]);
+}
+
+#[test]
+fn an_unreachable_endpoint_is_avoided_for_a_while() {
+    let mut placer = pool(2, 26.0);
+    placer.ask(NOW, number(1), prompt("short", 1_000, 300.0));
+    let lost = plan(&mut placer, number(1)).first.endpoint;
+    let end = job::JobEnd {
+        sign: trouble::EndpointSign::Unreachable,
+        at_fault: None,
+    };
+    placer.end(NOW + 5.0, number(1), &end);
+    for index in 2..6 {
+        placer.ask(NOW + 6.0, number(index), prompt("short", 1_000, 300.0));
+        assert_ne!(plan(&mut placer, number(index)).first.endpoint, lost);
+    }
+}
+
+#[test]
+fn a_placer_that_takes_over_counts_what_runs() {
+    let mut first = pool(2, 26.0);
+    let ask = prompt("long", 100_000, 60_000.0);
+    first.ask(NOW, number(1), ask.clone());
+    let plan_of_first = plan(&mut first, number(1));
+    let mut second = pool(2, 26.0);
+    second.adopt(
+        NOW,
+        &job::RunningJob {
+            job: number(1),
+            ask,
+            plan: plan_of_first,
+            started: false,
+        },
+    );
+    assert_eq!(second.running(), 1);
+    second.withdraw_life(NOW, 1);
+    assert_eq!(second.running(), 0);
+}
--- a/crates/pool/tests/support/engine.rs
+++ b/crates/pool/tests/support/engine.rs
@@ -83,7 +83,10 @@
 
     /// Ends the pass that ends now.
     pub fn finish(&mut self) -> Vec<PassNews> {
-        self.running.take().map(|(_, news)| news).unwrap_or_default()
+        self.running
+            .take()
+            .map(|(_, news)| news)
+            .unwrap_or_default()
     }
 
     fn pass(&mut self, now: f64, profile: &serving::EngineProfile) -> (f64, Vec<PassNews>) {
--- /dev/null
+++ b/crates/pool/tests/support/figures.rs
@@ -0,0 +1,22 @@
+//! Figures of the users' engines.
+
+use std::time;
+
+use model::serving;
+
+/// The engines of the users' deployments.
+pub fn profile(slots: u32, stride: u32) -> serving::EngineProfile {
+    serving::EngineProfile {
+        slots,
+        memory_tokens: 315_000,
+        stride,
+        step_ms: 0.85,
+        step_ms_per_request: 0.00425,
+        step_ms_per_context_k: 0.00285,
+        read_tokens_per_ms: 177.0,
+        pairs_ms_per_million: 0.184,
+        chunk_tokens: 2_048,
+        report_lag: time::Duration::from_millis(200),
+        usual_answer_tokens: 1_622,
+    }
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Shared by the tests that play loads.
 
 pub mod engine;
+pub mod figures;
 pub mod play;
 
 use play::EngineLoad;
@@ -56,7 +57,11 @@
         kinds: lunch_kinds(),
         engines: 21,
         span_ms: 33_000.0,
-        waves: vec![vec![0.37, 1.3, 2.8], vec![2.4, 0.5, 0.05], vec![0.38, 1.3, 2.8]],
+        waves: vec![
+            vec![0.37, 1.3, 2.8],
+            vec![2.4, 0.5, 0.05],
+            vec![0.38, 1.3, 2.8],
+        ],
     }
 }
 
--- a/crates/pool/tests/support/play.rs
+++ b/crates/pool/tests/support/play.rs
@@ -5,13 +5,13 @@
 use model::ids;
 use model::map;
 use model::serving;
-use std::time;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs;
 use sardinepaddle_pool::job;
 use sardinepaddle_pool::placer;
 use sardinepaddle_pool::trouble;
+use std::time;
 
 use crate::support::engine;
 
@@ -104,23 +104,6 @@
     outcomes: Vec<KindOutcome>,
 }
 
-/// The engines of the users' deployments.
-pub fn profile(slots: u32, stride: u32) -> serving::EngineProfile {
-    serving::EngineProfile {
-        slots,
-        memory_tokens: 315_000,
-        stride,
-        step_ms: 0.85,
-        step_ms_per_request: 0.00425,
-        step_ms_per_context_k: 0.00285,
-        read_tokens_per_ms: 177.0,
-        pairs_ms_per_million: 0.184,
-        chunk_tokens: 2_048,
-        report_lag: time::Duration::from_millis(200),
-        usual_answer_tokens: 1_622,
-    }
-}
-
 impl LoadPlay {
     /// Draws a load.
     pub fn new(load: EngineLoad, profile: serving::EngineProfile, seed: u64) -> Self {
@@ -261,7 +244,9 @@
     }
 
     fn patience(kind: &RequestKind) -> f64 {
-        2_000.0_f64.max(4.0 * kind.objective_ms).max(8.0 * kind.pause_ms)
+        2_000.0_f64
+            .max(4.0 * kind.objective_ms)
+            .max(8.0 * kind.pause_ms)
     }
 
     fn ask(&mut self, now: f64, index: usize) {
@@ -324,8 +309,7 @@
         let plan = self.plans[&index].clone();
         let members = 1 + plan.helpers.len();
         let request = &mut self.requests[index];
-        let pairs_ms =
-            request.prompt * request.prompt / 2e6 * self.profile.pairs_ms_per_million;
+        let pairs_ms = request.prompt * request.prompt / 2e6 * self.profile.pairs_ms_per_million;
         let token_ms = 1.0 / self.profile.read_tokens_per_ms + pairs_ms / request.prompt;
         let part = request.prompt / members as f64;
         request.parts_left = members;
@@ -342,10 +326,9 @@
 
     fn wake(&mut self, now: f64, engine: usize) {
         let ran = self.engines[engine].is_running();
-        if let Some(end) = self.engines[engine].next_end(now, &self.profile) {
-            if !ran {
-                self.later(end, PlayEvent::PassEnd(engine));
-            }
+        let end = self.engines[engine].next_end(now, &self.profile);
+        if let Some(end) = end.filter(|_| !ran) {
+            self.later(end, PlayEvent::PassEnd(engine));
         }
     }
 
