--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -26,6 +26,8 @@
     BodyTooLarge,
     /// The body did not come whole.
     BodyBroken,
+    /// The body did not come in time.
+    BodySlow,
     /// It has not run.
     NotRun {
         reason: &'static str,
@@ -46,6 +48,7 @@
             Self::BadKey => "bad_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
+            Self::BodySlow => "body_slow",
             Self::NotRun { reason, .. } => reason,
             Self::Failed => "endpoint_failed",
             Self::TimedOut => "deadline_passed",
@@ -59,6 +62,7 @@
             Self::BadKey => http::StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => http::StatusCode::BAD_REQUEST,
+            Self::BodySlow => http::StatusCode::REQUEST_TIMEOUT,
             Self::Failed => http::StatusCode::BAD_GATEWAY,
             Self::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -22,6 +23,10 @@
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Objectives within which a request's first event or whole answer is expected by all means.
+const EXPECTED_OBJECTIVES: f64 = 2.0;
+/// Time of a token of an answer, ms: the engines' step with other requests beside it, and half more.
+const EXPECTED_TOKEN_MS: f64 = 1.6;
 /// Advice on when to come back to another daemon, ms.
 const ELSEWHERE_RETRY_MS: u64 = 50;
 /// Least size of the buffer for a request head that the HTTP library takes.
@@ -94,6 +99,13 @@
     response
 }
 
+/// Time that a request is likely to take, ms, on the long side.
+fn expected_ms(found: &routes::RouteMatch, hints: &headers::CallerHints) -> f64 {
+    let first = EXPECTED_OBJECTIVES * request::millis(found.route.objective);
+    let answer = hints.tokens.map_or(0, |(_, answer)| answer);
+    first + answer as f64 * EXPECTED_TOKEN_MS
+}
+
 /// Reads a request whole and finds its route.
 async fn read(
     port: &CallerPort,
@@ -115,12 +127,6 @@
     if !world.has_config() {
         return Err(refuse(answer::OwnAnswer::NotReady));
     }
-    if world.ends_soon() {
-        return Err(refuse(answer::OwnAnswer::NotRun {
-            reason: "shutting_down",
-            retry_after_ms: ELSEWHERE_RETRY_MS,
-        }));
-    }
     let index = world.index();
     let host = parts.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -132,9 +138,18 @@
                 routes::RouteError::BadKey => answer::OwnAnswer::BadKey,
             })
         })?;
+    if world.ends_before(expected_ms(&found, &hints)) {
+        return Err(refuse(answer::OwnAnswer::NotRun {
+            reason: "shutting_down",
+            retry_after_ms: ELSEWHERE_RETRY_MS,
+        }));
+    }
     let timeout = found.route.timeout;
     let patience = hints.patience.unwrap_or(timeout).min(timeout);
     let limits = &index.config().limits;
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(refuse(answer::OwnAnswer::BodyTooLarge));
+    }
     let limited = http_body_util::Limited::new(body, limits.body_bytes);
     let whole = time::timeout(patience, limited.collect()).await;
     let body = match whole {
@@ -142,7 +157,8 @@
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err(refuse(answer::OwnAnswer::BodyTooLarge));
         }
-        Ok(Err(_)) | Err(_) => return Err(refuse(answer::OwnAnswer::BodyBroken)),
+        Ok(Err(_)) => return Err(refuse(answer::OwnAnswer::BodyBroken)),
+        Err(_) => return Err(refuse(answer::OwnAnswer::BodySlow)),
     };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(request::CallerRequest {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -31,6 +31,9 @@
 /// Time between two looks at whether another daemon should place.
 const CHOICE_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time for further news to come along before they are looked at.
+const NEWS_PAUSE: Duration = Duration::from_millis(25);
+
 type Frames = codec::Framed<TcpStream, codec::LengthDelimitedCodec>;
 
 /// Why a connection is over.
@@ -247,13 +250,14 @@
 /// Who is to place from now on.
 enum PlacerChoice {
     Own,
-    Other(DaemonLink, ids::HostId),
+    Other(Box<DaemonLink>, ids::HostId),
     Unchanged,
 }
 
 /// Keeps a connection to the daemon that should place, for ever.
 pub(crate) async fn follow_placer(world: rc::Rc<world::DaemonWorld>) {
     let mut following: Option<Following> = None;
+    let mut changes = world.changes();
     loop {
         match choose(&world, following.as_ref()).await {
             PlacerChoice::Unchanged => {}
@@ -272,7 +276,13 @@
                 });
             }
         }
-        let pause = time::sleep(CHOICE_PERIOD);
+        let pause = async {
+            tokio::select! {
+                () = time::sleep(CHOICE_PERIOD) => {}
+                // A new list of daemons may name another one.
+                _ = changes.changed() => time::sleep(NEWS_PAUSE).await,
+            }
+        };
         match following.as_mut() {
             Some(current) => tokio::select! {
                 // It was lost: the next one is looked for at once.
@@ -322,7 +332,9 @@
             continue;
         }
         let error = match dial(world, address).await {
-            Ok((link, host, PlacerState::Placing)) => return PlacerChoice::Other(link, host),
+            Ok((link, host, PlacerState::Placing)) => {
+                return PlacerChoice::Other(Box::new(link), host);
+            }
             Ok((link, host, PlacerState::Leaving)) => {
                 last_resort.get_or_insert((link, host));
                 None
@@ -338,7 +350,7 @@
     }
     match last_resort {
         Some((link, host)) if following.is_none() && !world.is_ready() => {
-            PlacerChoice::Other(link, host)
+            PlacerChoice::Other(Box::new(link), host)
         }
         _ => PlacerChoice::Unchanged,
     }
@@ -357,7 +369,7 @@
 }
 
 /// Follows over a connection; when it is lost, this daemon places for itself until the next.
-async fn keep(mut link: DaemonLink, host: ids::HostId, leaving: rc::Rc<cell::Cell<bool>>) {
+async fn keep(mut link: Box<DaemonLink>, host: ids::HostId, leaving: rc::Rc<cell::Cell<bool>>) {
     let world = link.world.clone();
     world.rank.borrow_mut().heard(&host);
     if let Err(error) = link.follow(&host, &leaving).await {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::logs;
 use crate::metrics;
 use crate::ports;
+use crate::request;
 use crate::upstream;
 use crate::world;
 
@@ -29,8 +30,6 @@
 /// Time after SIGTERM for which kept connections go on as before: the balancer notices within two
 /// checks of a second each.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
-/// Time before SIGKILL at which the process ends with whatever is left.
-const LAST_MARGIN: Duration = Duration::from_millis(300);
 
 /// Why the daemon could not run.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
@@ -178,7 +177,7 @@
 /// Stops being ready, serves until the balancer has noticed, and finishes what was read.
 async fn drain(world: &world::DaemonWorld, close: &watch::Sender<bool>) {
     let grace = world.settings().bounds.grace();
-    let end = time::Instant::now() + grace.saturating_sub(LAST_MARGIN);
+    let end = time::Instant::now() + grace.saturating_sub(request::span(world::END_MARGIN_MS));
     world.leave();
     log::info!(target: "sardinepaddle", active = world.active.get(), grace_ms = grace.as_millis();
         "daemon leaves");
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -27,9 +27,11 @@
 /// Time that a message between daemons takes at most as a rule, ms: told ages grow by it, so that
 /// what is passed around does not stay young.
 const TRANSIT_MS: f64 = 5.0;
-/// Time after SIGTERM for which new requests are taken, ms: the balancer has noticed by then, and
-/// later ones might be cut by the end of the process.
+/// Time after SIGTERM for which all new requests are taken, ms: the balancer has noticed by then.
+/// Later ones are taken if they are likely to be over before the end of the process.
 const LAST_ACCEPTED_MS: f64 = 3_000.0;
+/// Time before SIGKILL at which the process is to have ended, ms.
+pub(crate) const END_MARGIN_MS: f64 = 500.0;
 /// Time after which an ask that met neither verdict nor word that it waits goes elsewhere, ms:
 /// some times the slowest exchange between two daemons that run.
 const ASK_PATIENCE_MS: f64 = 250.0;
@@ -171,10 +173,14 @@
         self.leaving_since.get().is_some()
     }
 
-    /// Whether the process ends so soon that a new request might not be finished.
-    pub fn ends_soon(&self) -> bool {
-        let since = self.leaving_since.get();
-        since.is_some_and(|since| self.now() - since > LAST_ACCEPTED_MS)
+    /// Whether the process ends so soon that a request of some length might be cut by it.
+    pub fn ends_before(&self, expected_ms: f64) -> bool {
+        let Some(since) = self.leaving_since.get() else {
+            return false;
+        };
+        let passed = self.now() - since;
+        let left = self.settings().bounds.grace_s * 1_000.0 - END_MARGIN_MS - passed;
+        passed > LAST_ACCEPTED_MS && expected_ms > left
     }
 
     /// Whether this daemon can place for others.
