--- a/crates/node/src/tables/queue.rs
+++ b/crates/node/src/tables/queue.rs
@@ -56,8 +56,12 @@
         let stalled = self
             .last_start
             .map_or(0.0, |last| now.since(last).as_secs_f64());
-        let gap = self.start_gap.map_or(0.0, |gap| gap.max(stalled));
-        Duration::from_secs_f64(gap * ahead)
+        let Some(gap) = self.start_gap else {
+            return Duration::ZERO;
+        };
+        // A stall delays the next start, not each of them.
+        let overdue = (stalled - gap).max(0.0);
+        Duration::from_secs_f64(gap * ahead + overdue)
     }
 
     /// Time that a request will take once started, as far as is known.
--- a/crates/node/tests/queues.rs
+++ b/crates/node/tests/queues.rs
@@ -272,3 +272,21 @@
     };
     assert!(refused(2) && refused(3), "{:?}", driver.ended);
 }
+
+// While the keepers of a leaving daemon's endpoints changed, nothing started for three seconds;
+// that pause was taken as the time of each start to come (shutdown.rs: a prompt refused at once).
+#[test]
+fn one_stall_is_not_taken_for_the_pace_of_all_starts() {
+    let mut driver = QueueDriver::new(1);
+    for count in 1..=16 {
+        driver.ask(count, "large", 2_000, Duration::from_secs(60));
+    }
+    for _ in 0..3 {
+        driver.pass(Duration::from_millis(200));
+        driver.finish_first();
+    }
+    driver.pass(Duration::from_secs(3));
+    driver.ask(100, "large", 2_000, Duration::from_secs(30));
+    let refused = driver.ended.iter().any(|(count, _)| *count == 100);
+    assert!(!refused, "{:?}", driver.ended);
+}
