Follow the store from two daemons, and ask with one kind whether it is back

Ruled out: relayed changes (each reached all daemons within milliseconds). Change: first lists may be old; the placing daemon and a second one follow; news is taken in batches; while the store is away only the configuration is asked for; the time after which a daemon follows by itself is spread.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -1,7 +1,7 @@
 //! Follows the store: one task for each kind of objects.
 //!
-//! The first daemon of each data centre follows for all; the others do so at their start, and
-//! when what they are told gets old.
+//! The daemon that places and a second one follow for all. The others list each kind at their
+//! start, and follow when what they are told gets old.
 
 use std::rc;
 use std::time::Duration;
@@ -16,8 +16,11 @@
 
 /// Share of the time in which a kind must be known everywhere that a watch waits at most.
 const WAIT_SHARE: f64 = 0.4;
-/// Share of that time after which a daemon that is told nothing follows the store by itself.
-const STALE_SHARE: f64 = 0.6;
+/// Shares of that time after which a daemon that is told nothing follows the store by itself: the
+/// first to do so tells the others, so that they need not.
+const STALE_SHARES: (f64, f64) = (0.55, 0.85);
+/// Pause after news, so that what changes together comes in one answer.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which the list of daemons is to be known everywhere, ms: those that are missing only
 /// place for themselves.
 const DAEMONS_BOUND_MS: f64 = 10_000.0;
@@ -25,7 +28,7 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after a failed call for daemons that follow for none but themselves: the store
 /// bears, and counts, calls of all of them.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(6_000);
 /// First and longest pause after a failed call.
 const RETRY_PAUSES: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -42,6 +45,8 @@
     client: store::StoreClient,
     /// Revision to go on from; `None` if the kind has to be listed.
     revision: Option<u64>,
+    /// Whether it has been listed in this life.
+    listed: bool,
     away: bool,
     /// When the store was back after it had been away.
     back_at: f64,
@@ -57,6 +62,7 @@
             kind,
             client: store::StoreClient::new(world.settings().store),
             revision: None,
+            listed: false,
             away: false,
             back_at: f64::NEG_INFINITY,
             held: map::HashMap::default(),
@@ -98,7 +104,12 @@
                 continue;
             }
             match self.step().await {
-                Ok(()) => pause = first,
+                Ok(news) => {
+                    pause = first;
+                    if news {
+                        time::sleep(NEWS_PAUSE).await;
+                    }
+                }
                 Err(error) => {
                     self.note_failure(&error);
                     time::sleep(pause).await;
@@ -129,11 +140,16 @@
         if world.is_leaving() {
             return false;
         }
-        let stale = world.age(self.kind) > STALE_SHARE * self.bound_ms();
-        self.revision.is_none() || world.leads() || stale || self.away
+        let (first, last) = STALE_SHARES;
+        let share = first + (last - first) * (world.life % 16) as f64 / 16.0;
+        let stale = world.age(self.kind) > share * self.bound_ms();
+        // While the store is away one kind asks for all whether it is back.
+        let hopeless = self.kind != catalog::ObjectKind::Config && world.lost_config();
+        (world.leads() || stale) && !hopeless
     }
 
-    async fn step(&mut self) -> store::Result<()> {
+    /// Makes one call; says whether it brought news.
+    async fn step(&mut self) -> store::Result<bool> {
         self.drop_held();
         match self.revision {
             None => self.list().await,
@@ -141,9 +157,17 @@
         }
     }
 
-    async fn list(&mut self) -> store::Result<()> {
-        let batch = self.client.list(self.kind).await?;
-        self.note_answer();
+    async fn list(&mut self) -> store::Result<bool> {
+        // The first list may be old: what changed since is told by other daemons, or by a watch.
+        let age = match self.listed {
+            false => store::ReadAge::Any,
+            true => store::ReadAge::Newest,
+        };
+        let batch = self.client.list(self.kind, age).await?;
+        self.listed = true;
+        if age == store::ReadAge::Newest {
+            self.note_answer();
+        }
         self.log_skipped(&batch.skipped);
         let present: Vec<&str> = batch
             .entries
@@ -162,10 +186,10 @@
         for name in missing {
             self.remove(name, batch.revision);
         }
-        Ok(())
+        Ok(false)
     }
 
-    async fn watch(&mut self, revision: u64) -> store::Result<()> {
+    async fn watch(&mut self, revision: u64) -> store::Result<bool> {
         let asked_at = self.world.now();
         let wait = self.watch_wait();
         let batch = match self.client.watch(self.kind, revision, wait).await {
@@ -176,7 +200,7 @@
                     .metrics
                     .store_call(self.kind.wire_name(), "history_gone");
                 self.revision = None;
-                return Ok(());
+                return Ok(false);
             }
             batch => batch?,
         };
@@ -185,6 +209,7 @@
         self.note_answer();
         self.log_skipped(&batch.skipped);
         self.revision = Some(batch.revision);
+        let news = !batch.entries.is_empty();
         let mut objects = Vec::new();
         for event in batch.entries {
             if event.removed {
@@ -195,7 +220,7 @@
             }
         }
         self.world.apply(objects, "store");
-        Ok(())
+        Ok(news)
     }
 
     fn watch_wait(&self) -> Duration {
@@ -255,6 +280,8 @@
     fn note_answer(&mut self) {
         let kind = self.kind.wire_name();
         self.world.metrics.store_call(kind, "done");
+        log::debug!(target: "sardinepaddle", kind, leads:% = self.world.leads(),
+            revision = self.revision.unwrap_or_default(); "store answered");
         self.world.note_fresh(self.kind);
         self.world.note_sight(self.kind, true);
         if self.away {
@@ -268,6 +295,8 @@
         let kind = self.kind.wire_name();
         self.world.metrics.store_call(kind, "failed");
         self.world.note_sight(self.kind, false);
+        log::debug!(target: "sardinepaddle", kind, leads:% = self.world.leads(), error:% = error;
+            "store call failed");
         if !self.away {
             self.away = true;
             let age = self.world.age(self.kind);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -160,7 +160,7 @@
                     LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
                     LinkMessage::Beat { ages_ms, sighted, .. } => {
                         self.world.note_ages(&ages_ms);
-                        let follow = self.world.choose_leader(host, sighted);
+                        let follow = self.world.choose_follower(host, sighted);
                         let beat = self.beat(follow);
                         self.send(&beat).await?;
                     }
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -236,15 +236,24 @@
         self.blind.borrow_mut()[kind as usize] = !reached;
     }
 
+    /// Whether the last call about the configuration failed.
+    pub fn lost_config(&self) -> bool {
+        self.blind.borrow()[catalog::ObjectKind::Config as usize]
+    }
+
     /// Whether the store is reached, as far as is known.
     pub fn is_sighted(&self) -> bool {
         !self.blind.borrow().contains(&true)
     }
 
-    /// Whether this daemon is to follow the store for others.
+    /// Whether this daemon is to follow the store for others: the one that places is.
     pub fn leads(&self) -> bool {
         match &*self.role.borrow() {
-            PlacerRole::Own => true,
+            PlacerRole::Own => {
+                let rank = self.rank.borrow();
+                let placer = rank.placer(self.now());
+                placer.is_none_or(|placer| placer.host == self.settings().host)
+            }
             PlacerRole::Remote { .. } => self.told_to_follow.get(),
         }
     }
@@ -254,20 +263,14 @@
         self.told_to_follow.set(follow);
     }
 
-    /// A follower told whether it reaches the store; says whether it is to follow it for its data
-    /// centre: the first one connected there that does.
-    pub fn choose_leader(&self, host: &ids::HostId, sighted: bool) -> bool {
-        let own = self.settings().host.clone();
-        {
-            let mut sights = self.sights.borrow_mut();
-            sights.insert(host.clone(), sighted);
-            sights.insert(own, self.is_sighted());
-        }
-        let sights = self.sights.borrow();
-        let sighted = |host: &ids::HostId| sights.get(host).copied().unwrap_or(false);
+    /// A follower told whether it reaches the store; says whether it is to follow it for others.
+    pub fn choose_follower(&self, host: &ids::HostId, sighted: bool) -> bool {
+        let mut sights = self.sights.borrow_mut();
+        sights.insert(host.clone(), sighted);
+        let fits = |host: &ids::HostId| sights.get(host).copied().unwrap_or(false);
         let rank = self.rank.borrow();
-        let first = rank.first_of_centre(host, sighted);
-        first.is_none_or(|first| first == host)
+        let second = rank.second_follower(&self.settings().host, fits);
+        second.is_none_or(|second| second == host)
     }
 
     /// Records metrics that change slowly.
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -68,18 +68,22 @@
         daemons.find(|daemon| !self.is_passed(&daemon.host, now))
     }
 
-    /// The first daemon of another's data centre that `fits`.
-    pub fn first_of_centre(
+    /// The daemon that follows the store beside the one that places: the first that `fits`, in
+    /// another data centre if there is one.
+    pub fn second_follower(
         &self,
-        host: &ids::HostId,
+        placer: &ids::HostId,
         fits: impl Fn(&ids::HostId) -> bool,
     ) -> Option<&ids::HostId> {
-        let own = self.daemons.iter().find(|daemon| daemon.host == *host)?;
-        let mut others = self
-            .daemons
-            .iter()
-            .map(|daemon| (&daemon.host, &daemon.centre));
-        let first = others.find(|(host, centre)| **centre == own.centre && fits(host));
-        first.map(|(host, _)| host)
+        let own = self.daemons.iter().find(|daemon| daemon.host == *placer);
+        let centre = own.map(|daemon| &daemon.centre);
+        let others = || {
+            let others = self.daemons.iter().filter(|daemon| daemon.host != *placer);
+            others.filter(|daemon| fits(&daemon.host))
+        };
+        let elsewhere = others().find(|daemon| Some(&daemon.centre) != centre);
+        elsewhere
+            .or_else(|| others().next())
+            .map(|daemon| &daemon.host)
     }
 }
