Notice an endpoint that went without a word within two seconds

Change: connections to endpoints are probed each second and end after two without an acknowledgement.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod message;
 pub mod packing;
 pub mod run;
+pub mod sockets;
 
 mod answer;
 mod clock;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,6 +14,8 @@
 use tokio::task;
 use tokio::time;
 
+use crate::sockets;
+
 /// Time that a connection to an endpoint may take; longer ones are dead or cut off.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most idle connections kept for one endpoint.
@@ -22,9 +24,6 @@
 const IDLE_TIME: Duration = Duration::from_millis(2_000);
 /// Time before the end named by an endpoint at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Time after which unacknowledged bytes end a connection.
-const SILENT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Why an exchange with an endpoint gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum UpstreamError {
@@ -144,11 +143,7 @@
     let stream = time::timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| failed("timed out".to_owned()))?;
     let stream = stream.map_err(|error| failed(error.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| failed(error.to_string()))?;
-    // Without it only a later time-out shows that the endpoint is gone.
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_TIMEOUT));
+    sockets::tune(&stream).map_err(|error| failed(error.to_string()))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
--- a/crates/pool/tests/loads.rs
+++ b/crates/pool/tests/loads.rs
@@ -31,8 +31,8 @@
 /// Least share of its worth that each kind is to earn: the users' target for the stock desk.
 const TARGET: f64 = 0.76;
 
-fn assert_served(load: &play::EngineLoad) {
-    for (outcome, kind) in played(load, 1..9).iter().zip(&load.kinds) {
+fn assert_served(load: &play::EngineLoad, seeds: std::ops::Range<u64>) {
+    for (outcome, kind) in played(load, seeds).iter().zip(&load.kinds) {
         let share = outcome.share();
         assert!(share >= TARGET, "{}: {share:.3}", kind.name);
     }
@@ -42,10 +42,20 @@
 // answers, and prompts beyond one engine's memory waited for members that had room by chance.
 #[test]
 fn each_kind_is_served_while_short_and_long_prompts_surge_by_turns() {
-    assert_served(&support::lunch_surges());
+    assert_served(&support::lunch_surges(), 1..9);
 }
 
 #[test]
 fn each_kind_is_served_on_the_stock_desks_fewer_engines() {
-    assert_served(&support::stock_surges());
+    assert_served(&support::stock_surges(), 1..9);
+}
+
+#[test]
+fn each_kind_is_served_after_the_lunches_have_grown() {
+    assert_served(&support::lunch_grown(), 1..4);
+}
+
+#[test]
+fn each_kind_is_served_after_the_stock_desk_has_grown() {
+    assert_served(&support::stock_grown(), 1..4);
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -74,3 +74,28 @@
     load.engines = 16;
     load
 }
+
+/// The school lunches after they have grown: larger long prompts, fewer slots an engine.
+pub fn lunch_grown() -> EngineLoad {
+    grown(69, [111.0, 7.05, 2.32])
+}
+
+/// The stock desk after it has grown.
+pub fn stock_grown() -> EngineLoad {
+    grown(54, [87.0, 5.52, 1.82])
+}
+
+fn grown(engines: usize, rates: [f64; 3]) -> EngineLoad {
+    let mut load = lunch_surges();
+    for (kind, per_s) in load.kinds.iter_mut().zip(rates) {
+        kind.per_s = per_s;
+    }
+    let long = &mut load.kinds[2];
+    long.prompt = 220_000.0;
+    long.most_prompt = 700_000.0;
+    long.objective_ms = 4_000.0;
+    long.worth = 29.0;
+    long.late_worth = 7.4;
+    load.engines = engines;
+    load
+}
