--- a/crates/daemon/tests/behind_platform.rs
+++ b/crates/daemon/tests/behind_platform.rs
@@ -49,16 +49,14 @@
 const PORTS: u16 = 10_000;
 static NEXT_PORT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
-fn free_port() -> net::SocketAddr {
+/// Tries to find free ports: any other process may take one between its choice and its use.
+const PORT_TRIES: usize = 5;
+
+fn next_port() -> net::SocketAddr {
     let offset = u16::try_from(process::id() % u32::from(PORTS)).unwrap();
-    loop {
-        let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = FIRST_PORT + offset.wrapping_add(step) % PORTS;
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
+    let port = FIRST_PORT + offset.wrapping_add(step) % PORTS;
+    net::SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 struct RunningDaemon {
@@ -79,9 +77,24 @@
 
 impl RunningDaemon {
     fn start(store: &StandInStore) -> Self {
+        for _ in 0..PORT_TRIES {
+            let mut daemon = Self::spawn(store);
+            let mut ended = false;
+            Self::wait_for("its port or its end", || {
+                ended = daemon.child.try_wait().unwrap().is_some();
+                ended || net::TcpStream::connect(daemon.callers).is_ok()
+            });
+            if !ended {
+                return daemon;
+            }
+        }
+        panic!("the daemon ended at each start");
+    }
+
+    fn spawn(store: &StandInStore) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
-        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_port());
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| next_port());
         let text = format!(
             "host: h1\ndata_centre: a\nlisten: {{ callers: '{callers}', readiness: '{readiness}', \
              peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n",
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -174,7 +174,7 @@
             .iter()
             .map(|entry| entry.name.as_str())
             .collect();
-        let names = self.world.names(self.kind);
+        let names = self.world.known().names(self.kind);
         let missing = names
             .into_iter()
             .filter(|name| !present.contains(&name.as_str()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod feeds;
 mod front;
+mod knowledge;
 mod links;
 mod logs;
 mod metrics;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -94,8 +94,8 @@
     }
 
     async fn send_changes(&mut self) -> Result<()> {
-        let (objects, change) = self.world.objects_since(self.sent_change);
-        self.sent_change = change;
+        let objects = self.world.known().since(self.sent_change);
+        self.sent_change = self.world.known().last_change();
         let is_large = |object: &replica::ReplicaObject| {
             let spec = object.spec.as_ref();
             spec.is_some_and(|spec| spec.len() >= packing::LEAST_PACKED)
@@ -135,7 +135,7 @@
         packed: &[u8],
         from: &str,
     ) -> Result<()> {
-        let content = self.world.unpack(&object, base, packed)?;
+        let content = self.world.known().unpack(&object, base, packed)?;
         object.spec = Some(content.into());
         let key = (object.kind, object.name.clone());
         let has = self.other_has.entry(key).or_default();
@@ -146,11 +146,10 @@
 
     /// Takes objects in; the other side needs none of them back.
     fn take_objects(&mut self, objects: Vec<replica::ReplicaObject>, from: &str) {
-        let (_, before) = self.world.objects_since(u64::MAX - 1);
-        let current = self.sent_change == before;
+        let current = self.sent_change == self.world.known().last_change();
         self.world.apply(objects, from);
         if current {
-            self.sent_change = self.world.objects_since(u64::MAX - 1).1;
+            self.sent_change = self.world.known().last_change();
         }
     }
 
--- a/crates/gateway/src/packing.rs
+++ b/crates/gateway/src/packing.rs
@@ -66,6 +66,12 @@
         };
         let key = (object.kind, object.name.clone());
         let contents = self.contents.entry(key.clone()).or_default();
+        if contents
+            .iter()
+            .any(|(revision, _)| *revision == object.revision)
+        {
+            return;
+        }
         contents.push_back((object.revision, spec.clone()));
         if contents.len() > KEPT_CONTENTS {
             contents.pop_front();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -542,7 +542,6 @@
             Some((tokens, answer_tokens)) => job::JobShape::Prompt {
                 tokens,
                 answer_tokens,
-                answer_guess: request.hints.answer_guess,
             },
             None => job::JobShape::Call,
         };
@@ -570,7 +569,7 @@
     ) -> Result<SentRequest, AttemptFault> {
         let request = self.request.clone();
         let placed_at = request.world.now();
-        let prepared = if request.world.takes_work(&plan.first.endpoint) {
+        let prepared = if request.world.known().takes_work(&plan.first.endpoint) {
             let upstreams = &request.upstreams;
             let memory = reservations::MemoryLease::reserve(upstreams, lease.job, &plan.helpers);
             memory.await.map_err(|endpoint| AttemptFault {
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -5,7 +5,6 @@
 
 use model::ids;
 use model::map;
-use model::serving;
 use platform::catalog;
 use pool::job;
 use pool::placer;
@@ -18,16 +17,11 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::knowledge;
 use crate::logs;
 use crate::message;
 use crate::metrics;
-use crate::packing;
 
-/// Kinds of objects that are followed.
-const KINDS: usize = catalog::ObjectKind::ALL.len();
-/// Time that a message between daemons takes at most as a rule, ms: told ages grow by it, so that
-/// what is passed around does not stay young.
-const TRANSIT_MS: f64 = 5.0;
 /// Time after SIGTERM for which all new requests are taken, ms: the balancer has noticed by then.
 /// Later ones are taken if they are likely to be over before the end of the process.
 const LAST_ACCEPTED_MS: f64 = 3_000.0;
@@ -62,17 +56,6 @@
     verdict: oneshot::Sender<job::PlaceVerdict>,
 }
 
-/// Known objects of the store, decoded.
-struct KnownObjects {
-    replica: replica::ObjectReplica,
-    history: packing::ContentHistory,
-    index: rc::Rc<routes::RouteIndex>,
-    endpoints: map::HashMap<ids::EndpointId, serving::LiveEndpoint>,
-    emptied: Vec<ids::CentreId>,
-    /// When the store last told of each kind, here or by a daemon that passed it on.
-    fresh_at: [f64; KINDS],
-}
-
 /// The state and the ways to change it.
 pub(crate) struct DaemonWorld {
     pub settings: cell::RefCell<rc::Rc<gateway::GatewaySettings>>,
@@ -80,7 +63,7 @@
     pub life: u64,
     pub metrics: metrics::GatewayMetrics,
     log: logs::LogGuard,
-    known: cell::RefCell<KnownObjects>,
+    known: cell::RefCell<knowledge::StoreKnowledge>,
     placer: cell::RefCell<placer::JobPlacer>,
     pub rank: cell::RefCell<rank::DaemonRank>,
     role: cell::RefCell<PlacerRole>,
@@ -93,7 +76,7 @@
     /// When the process was asked to end, ms.
     leaving_since: cell::Cell<Option<f64>>,
     /// Kinds on which the last call to the store failed.
-    blind: cell::RefCell<[bool; KINDS]>,
+    blind: cell::RefCell<[bool; knowledge::KINDS]>,
     /// Connected followers, and whether they reach the store.
     sights: cell::RefCell<map::HashMap<ids::HostId, bool>>,
     told_to_follow: cell::Cell<bool>,
@@ -122,14 +105,7 @@
             life: rand::random(),
             metrics,
             log,
-            known: cell::RefCell::new(KnownObjects {
-                replica: replica::ObjectReplica::default(),
-                history: packing::ContentHistory::default(),
-                index: rc::Rc::default(),
-                endpoints: map::HashMap::default(),
-                emptied: Vec::new(),
-                fresh_at: [f64::NEG_INFINITY; KINDS],
-            }),
+            known: cell::RefCell::new(knowledge::StoreKnowledge::new()),
             placer: cell::RefCell::new(placer::JobPlacer::new(bounds)),
             rank: cell::RefCell::new(rank::DaemonRank::default()),
             role: cell::RefCell::new(PlacerRole::Own),
@@ -158,12 +134,72 @@
 
     /// The configuration in force, indexed.
     pub fn index(&self) -> rc::Rc<routes::RouteIndex> {
-        self.known.borrow().index.clone()
+        self.known.borrow().index()
     }
 
     /// Whether a configuration is known.
     pub fn has_config(&self) -> bool {
-        self.known.borrow().index.config().version > 0
+        self.known.borrow().version() > 0
+    }
+
+    /// What is known of the store.
+    pub fn known(&self) -> cell::Ref<'_, knowledge::StoreKnowledge> {
+        self.known.borrow()
+    }
+
+    /// Packs a large object for a daemon that has revision `base` of it.
+    pub fn pack(
+        &self,
+        object: &replica::ReplicaObject,
+        base: Option<u64>,
+    ) -> std::io::Result<(u64, bytes::Bytes)> {
+        self.known.borrow_mut().pack(object, base)
+    }
+
+    /// Age of what is known of the configuration and the endpoints, ms.
+    pub fn data_age(&self) -> f64 {
+        let config = self.age(catalog::ObjectKind::Config);
+        config.max(self.age(catalog::ObjectKind::Endpoints))
+    }
+
+    /// Age of what is known of a kind, ms.
+    pub fn age(&self, kind: catalog::ObjectKind) -> f64 {
+        self.now() - self.known.borrow().fresh_at(kind)
+    }
+
+    /// Ages of all kinds, whole ms.
+    pub fn ages(&self) -> Vec<u64> {
+        let kinds = catalog::ObjectKind::ALL.into_iter();
+        kinds
+            .map(|kind| self.age(kind).clamp(0.0, 1e9) as u64)
+            .collect()
+    }
+
+    /// The store told of a kind.
+    pub fn note_fresh(&self, kind: catalog::ObjectKind) {
+        self.known.borrow_mut().note_fresh(self.now(), kind);
+    }
+
+    /// Another daemon told how old its knowledge is.
+    pub fn note_ages(&self, ages_ms: &[u64]) {
+        self.known.borrow_mut().note_ages(self.now(), ages_ms);
+    }
+
+    /// Takes objects of the store in, as read here or told by another daemon.
+    pub fn apply(&self, objects: Vec<replica::ReplicaObject>, source: &str) {
+        let kinds = self.known.borrow_mut().apply(objects, source);
+        if kinds.is_empty() {
+            return;
+        }
+        let known = self.known.borrow();
+        if kinds.contains(&catalog::ObjectKind::Daemons) {
+            self.rank.borrow_mut().set(known.daemons());
+            self.share_budget();
+        }
+        let mut placer = self.placer.borrow_mut();
+        placer.set_services(&known.index().config().services);
+        placer.set_endpoints(self.now(), &known.endpoints(), known.emptied());
+        self.changes.send_replace(known.last_change());
     }
 
     /// Whether new requests are welcome here.
@@ -200,40 +236,6 @@
         self.leaving_since.set(Some(self.now()));
     }
 
-    /// Age of what is known of the configuration and the endpoints, ms.
-    pub fn data_age(&self) -> f64 {
-        let config = self.age(catalog::ObjectKind::Config);
-        config.max(self.age(catalog::ObjectKind::Endpoints))
-    }
-
-    /// Age of what is known of a kind, ms.
-    pub fn age(&self, kind: catalog::ObjectKind) -> f64 {
-        self.now() - self.known.borrow().fresh_at[kind as usize]
-    }
-
-    /// Ages of all kinds, whole ms.
-    pub fn ages(&self) -> Vec<u64> {
-        let kinds = catalog::ObjectKind::ALL.into_iter();
-        kinds
-            .map(|kind| self.age(kind).clamp(0.0, 1e9) as u64)
-            .collect()
-    }
-
-    /// The store told of a kind.
-    pub fn note_fresh(&self, kind: catalog::ObjectKind) {
-        let now = self.now();
-        self.known.borrow_mut().fresh_at[kind as usize] = now;
-    }
-
-    /// Another daemon told how old its knowledge is.
-    pub fn note_ages(&self, ages_ms: &[u64]) {
-        let now = self.now();
-        let mut known = self.known.borrow_mut();
-        for (fresh_at, age) in known.fresh_at.iter_mut().zip(ages_ms) {
-            *fresh_at = fresh_at.max(now - *age as f64 - TRANSIT_MS);
-        }
-    }
-
     /// A call to the store about a kind failed or succeeded.
     pub fn note_sight(&self, kind: catalog::ObjectKind, reached: bool) {
         self.blind.borrow_mut()[kind as usize] = !reached;
@@ -278,7 +280,7 @@
 
     /// Records metrics that change slowly.
     pub fn observe(&self) {
-        let version = self.known.borrow().index.config().version;
+        let version = self.known.borrow().version();
         let waiting = self.placer.borrow().waiting();
         let dropped = self.log.dropped.dropped_lines();
         self.metrics
@@ -290,181 +292,6 @@
         self.changes.subscribe()
     }
 
-    /// Objects that changed after a change, and the number of the newest one.
-    pub fn objects_since(&self, change: u64) -> (Vec<replica::ReplicaObject>, u64) {
-        let known = self.known.borrow();
-        (known.replica.since(change), known.replica.last_change())
-    }
-
-    /// Packs a large object for a daemon that has revision `base` of it.
-    pub fn pack(
-        &self,
-        object: &replica::ReplicaObject,
-        base: Option<u64>,
-    ) -> std::io::Result<(u64, bytes::Bytes)> {
-        self.known.borrow_mut().history.pack(object, base)
-    }
-
-    /// Unpacks what another daemon packed; `base` is a revision that it knows is known here.
-    pub fn unpack(
-        &self,
-        object: &replica::ReplicaObject,
-        base: u64,
-        packed: &[u8],
-    ) -> std::io::Result<Vec<u8>> {
-        let known = self.known.borrow();
-        let content = match base {
-            0 => None,
-            base => {
-                let content = known.history.content(object.kind, &object.name, base);
-                let missing = || std::io::Error::other("the base is not known here");
-                Some(content.ok_or_else(missing)?)
-            }
-        };
-        packing::unpack(packed, content.map(|content| content.as_ref()))
-    }
-
-    /// Names known of a kind.
-    pub fn names(&self, kind: catalog::ObjectKind) -> Vec<String> {
-        self.known.borrow().replica.names(kind as u8)
-    }
-
-    /// Takes objects of the store in, as read here or told by another daemon.
-    pub fn apply(&self, objects: Vec<replica::ReplicaObject>, source: &str) {
-        let mut kinds = Vec::new();
-        {
-            let mut known = self.known.borrow_mut();
-            for object in objects {
-                let kind = object.kind;
-                // Also one that is old here may be the base of a difference to come.
-                known.history.keep(&object);
-                if !known.replica.apply(object) {
-                    continue;
-                }
-                if !kinds.contains(&kind) {
-                    kinds.push(kind);
-                }
-            }
-        }
-        for kind in catalog::ObjectKind::ALL {
-            if kinds.contains(&(kind as u8)) {
-                self.decode(kind, source);
-            }
-        }
-        if !kinds.is_empty() {
-            let change = self.known.borrow().replica.last_change();
-            self.changes.send_replace(change);
-        }
-    }
-
-    fn decode(&self, kind: catalog::ObjectKind, source: &str) {
-        match kind {
-            catalog::ObjectKind::Config => self.decode_config(source),
-            catalog::ObjectKind::Endpoints => self.decode_endpoints(source),
-            catalog::ObjectKind::Emptied => self.decode_emptied(source),
-            catalog::ObjectKind::Daemons => self.decode_daemons(source),
-        }
-        self.refresh_placer();
-    }
-
-    fn decode_config(&self, source: &str) {
-        let mut known = self.known.borrow_mut();
-        let kind = catalog::ObjectKind::Config as u8;
-        let object = known.replica.present(kind);
-        let object = object
-            .into_iter()
-            .find(|object| object.name == catalog::CONFIG_NAME);
-        let Some(spec) = object.and_then(|object| object.spec.clone()) else {
-            return;
-        };
-        match catalog::read_config(&spec) {
-            Ok(config) if config.version > known.index.config().version => {
-                log::info!(target: "sardinepaddle", version = config.version,
-                    routes = config.routes.len(), source; "config in force");
-                known.index = rc::Rc::new(routes::RouteIndex::new(config));
-            }
-            Ok(config) => {
-                log::info!(target: "sardinepaddle", version = config.version, source;
-                    "config passed over: not newer");
-            }
-            Err(error) => {
-                log::warn!(target: "sardinepaddle", error:% = error, source;
-                    "config unreadable: the last one stays in force");
-            }
-        }
-    }
-
-    fn decode_endpoints(&self, source: &str) {
-        let mut known = self.known.borrow_mut();
-        let mut endpoints = map::HashMap::default();
-        for object in known.replica.present(catalog::ObjectKind::Endpoints as u8) {
-            let spec = object.spec.as_deref().unwrap_or_default();
-            match catalog::read_endpoint(&object.name, spec) {
-                Ok(live) => {
-                    endpoints.insert(live.id.clone(), live);
-                }
-                Err(error) => {
-                    log::warn!(target: "sardinepaddle", endpoint = object.name, error:% = error;
-                        "endpoint entry skipped");
-                }
-            }
-        }
-        for (id, live) in &endpoints {
-            let before: Option<&serving::LiveEndpoint> = known.endpoints.get(id);
-            if before.is_none_or(|before| before != live) {
-                log::info!(target: "sardinepaddle", endpoint:% = id, address:% = live.address,
-                    centre:% = live.centre, leaving:% = live.leaving, source; "endpoint listed");
-            }
-        }
-        for id in known.endpoints.keys() {
-            if !endpoints.contains_key(id) {
-                log::info!(target: "sardinepaddle", endpoint:% = id, source; "endpoint gone");
-            }
-        }
-        known.endpoints = endpoints;
-    }
-
-    fn decode_emptied(&self, source: &str) {
-        let mut known = self.known.borrow_mut();
-        let names = known.replica.names(catalog::ObjectKind::Emptied as u8);
-        known.emptied = names.iter().map(|name| ids::CentreId::new(name)).collect();
-        let names = names.join(",");
-        log::info!(target: "sardinepaddle", emptied = names, source; "data centres out of service");
-    }
-
-    fn decode_daemons(&self, source: &str) {
-        let known = self.known.borrow();
-        let objects = known.replica.present(catalog::ObjectKind::Daemons as u8);
-        let mut daemons = Vec::new();
-        for object in objects {
-            match catalog::read_daemon(object.spec.as_deref().unwrap_or_default()) {
-                Ok(daemon) => daemons.push(daemon),
-                Err(error) => {
-                    log::warn!(target: "sardinepaddle", daemon = object.name, error:% = error;
-                        "daemon entry skipped");
-                }
-            }
-        }
-        log::info!(target: "sardinepaddle", daemons = daemons.len(), source; "daemons listed");
-        self.rank.borrow_mut().set(&daemons);
-        self.share_budget();
-    }
-
-    fn refresh_placer(&self) {
-        let known = self.known.borrow();
-        let mut placer = self.placer.borrow_mut();
-        placer.set_services(&known.index.config().services);
-        let listed: Vec<serving::LiveEndpoint> = known.endpoints.values().cloned().collect();
-        placer.set_endpoints(self.now(), &listed, &known.emptied);
-    }
-
-    /// Whether an endpoint may get new work, by what is known here.
-    pub fn takes_work(&self, id: &ids::EndpointId) -> bool {
-        let known = self.known.borrow();
-        let live = known.endpoints.get(id);
-        live.is_some_and(|live| !live.leaving && !known.emptied.contains(&live.centre))
-    }
-
     /// Draws an id for an attempt.
     pub fn new_job(&self) -> job::JobId {
         let number = self.next_job.get() + 1;
--- a/crates/model/src/serving.rs
+++ b/crates/model/src/serving.rs
@@ -136,8 +136,6 @@
 pub struct ServiceProfile {
     /// Name of the service.
     pub service: ids::ServiceId,
-    /// Connections that one endpoint takes from all daemons together.
-    pub connections: u32,
     /// Requests a second that an endpoint bears while it is cold; zero if it never is.
     pub cold_rate: f64,
     /// Figures of the model engine; `None` for a plain service.
@@ -165,10 +163,6 @@
     pub pairs_ms_per_million: f64,
     /// Most prompt tokens read in one step.
     pub chunk_tokens: u32,
-    /// Age of an endpoint's load report.
-    pub report_lag: Duration,
-    /// Mean tokens of an answer.
-    pub usual_answer_tokens: u64,
 }
 
 /// A live endpoint as listed.
@@ -186,8 +180,6 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub leaving: bool,
-    /// How much longer it is cold, as of its listing.
-    pub cold_left: Duration,
     /// Start of this life as told by itself, Unix ms; zero if not told.
     pub born_ms: u64,
 }
--- a/crates/pool/src/engine.rs
+++ b/crates/pool/src/engine.rs
@@ -6,11 +6,10 @@
 /// which has its share of the pairs of the whole prompt.
 ///
 /// ```
-/// # use std::time::Duration;
 /// # let profile = model::serving::EngineProfile {
 /// #     slots: 16, memory_tokens: 315_000, stride: 51, step_ms: 0.85, step_ms_per_request: 0.0,
 /// #     step_ms_per_context_k: 0.0, read_tokens_per_ms: 177.0, pairs_ms_per_million: 0.184,
-/// #     chunk_tokens: 2_048, report_lag: Duration::ZERO, usual_answer_tokens: 1_000 };
+/// #     chunk_tokens: 2_048 };
 /// let alone = sardinepaddle_pool::engine::read_ms(&profile, 154_000, 1);
 /// let split = sardinepaddle_pool::engine::read_ms(&profile, 154_000, 4);
 /// assert!(alone > 3_000.0 && split < 850.0);
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -25,8 +25,6 @@
         tokens: u64,
         /// Most tokens of the answer.
         answer_tokens: u64,
-        /// Tokens of the answer as guessed by the caller, if it did.
-        answer_guess: Option<u64>,
     },
     /// A call of a plain service.
     Call,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -15,3 +15,5 @@
 pub mod routes;
 pub mod trouble;
 pub mod value;
+
+mod load;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -5,6 +5,7 @@
 //! requests there would lose by it. It takes the set with the greatest gain. What gains more
 //! later waits; what gains nothing any more is declined at once.
 
+use std::cmp;
 use std::collections;
 use std::sync;
 
@@ -15,6 +16,7 @@
 use crate::budget;
 use crate::engine;
 use crate::job;
+use crate::load;
 use crate::trouble;
 use crate::value;
 
@@ -36,8 +38,6 @@
 const ACCEPTED_GAIN: f64 = 0.6;
 /// Share of the objective over which that share falls to nothing: engines clear within some passes.
 const CHOOSY_SHARE: f64 = 0.15;
-/// Share of the objective by which a prediction may be off.
-const UNCERTAINTY: f64 = 0.12;
 /// Share of an engine's memory that is given out; the rest covers answers longer than guessed.
 const MEMORY_SHARE: f64 = 0.95;
 /// Tokens set aside beyond the prompt's part, for rounding to blocks.
@@ -61,6 +61,10 @@
 const CALL_CROWDING: f64 = 2.0;
 /// Price of sending to another data centre, units of worth; settles ties.
 const CROSS_CENTRE_PRICE: f64 = 0.004;
+/// Price of each request that an engine generates for already, units of worth; spreads them.
+const CROWD_PRICE: f64 = 0.01;
+/// Least time left to an objective that the price of waiting is reckoned over, ms.
+const LEAST_LEFT_MS: f64 = 100.0;
 /// Time after which a job that its daemon no longer speaks of is forgotten, ms beyond its deadline.
 const FORGET_MS: f64 = 5_000.0;
 
@@ -577,13 +581,16 @@
         };
         let price = self.price(now, &waiting.ask.service);
         let most = most_members(tokens).min(usable.len());
-        let loads: Vec<EngineLoad<'_>> = usable
+        let views: Vec<EngineView<'_>> = usable
             .iter()
-            .map(|state| self.engine_load(now, state, profile))
+            .map(|state| EngineView {
+                state,
+                load: self.engine_load(now, state, profile),
+            })
             .collect();
         let spreads = SPREADS.iter().filter(|spread| **spread <= most);
         let choices = spreads
-            .filter_map(|spread| self.choose_spread(now, waiting, profile, &loads, price, *spread));
+            .filter_map(|spread| self.choose_spread(now, waiting, profile, &views, price, *spread));
         choices.max_by(|a, b| a.gain.total_cmp(&b.gain))
     }
 
@@ -599,14 +606,13 @@
         IDLE_PRICE * (1.0 + (mean / PRICE_BACKLOG_MS).powi(2))
     }
 
-    fn engine_load<'a>(
+    fn engine_load(
         &self,
         now: f64,
-        state: &'a EndpointState,
+        state: &EndpointState,
         profile: &serving::EngineProfile,
-    ) -> EngineLoad<'a> {
-        let mut load = EngineLoad {
-            state,
+    ) -> load::EngineLoad {
+        let mut load = load::EngineLoad {
             backlog_ms: (state.read_free_at - now).max(0.0),
             pass_ms: 0.0,
             token_ms: 0.0,
@@ -630,7 +636,7 @@
             if first {
                 load.first_here += 1;
                 context += job.context;
-                load.generating.push(GeneratingJob {
+                load.generating.push(load::GeneratingJob {
                     pending_ms: job.pending_ms(now, state),
                     pause_ms: job.pause_ms,
                     late_loss: job.at_stake(),
@@ -652,111 +658,54 @@
         now: f64,
         waiting: &WaitingAsk,
         profile: &serving::EngineProfile,
-        loads: &[EngineLoad<'_>],
+        views: &[EngineView<'_>],
         price: f64,
         spread: usize,
     ) -> Option<PlanChoice> {
         let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
             return None;
         };
-        let answer = answer_tokens(&waiting.ask.shape);
+        let need = tokens + answer_tokens(&waiting.ask.shape) + RESERVE_MARGIN;
         let read_ms = engine::read_ms(profile, tokens, spread);
-        let token_ms = read_ms * spread as f64 / tokens.max(1) as f64;
-        let addition = ReadAddition {
+        let addition = load::ReadAddition {
             read_ms,
-            token_ms,
+            token_ms: read_ms * spread as f64 / tokens.max(1) as f64,
             ahead: spread > 1,
         };
-        let left = (waiting.objective_at - now).max(100.0);
-        let wait_price = waiting.value / left;
-        let mut ranked: Vec<(f64, &EngineLoad<'_>)> = loads
-            .iter()
-            .filter(|load| load.state.jobs.len() < load.state.live.slots as usize)
-            .map(|load| {
-                let harm = load.harm(profile, &addition);
-                let trouble = load.state.trouble.share(now) * waiting.value;
-                let away = load.state.live.centre != waiting.ask.centre;
-                let distance = if away { CROSS_CENTRE_PRICE } else { 0.0 };
-                let start = load.start_ms() * wait_price;
-                let crowd = 0.01 * load.first_here as f64;
-                (harm + trouble + distance + start + crowd, load)
-            })
-            .collect();
-        if ranked.len() < spread {
-            return None;
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let room = |load: &EngineLoad<'_>| load.state.memory_free(profile);
-        let need = tokens + answer + RESERVE_MARGIN;
-        if ranked[..spread].iter().all(|(_, load)| room(load) < need) {
-            // Those with most room come first, as many as the prompt needs.
-            let mut by_room: Vec<usize> = (0..ranked.len()).collect();
-            by_room.sort_by_key(|index| std::cmp::Reverse(room(ranked[*index].1)));
-            let mut missing = need;
-            for index in by_room {
-                if missing == 0 {
-                    break;
-                }
-                missing = missing.saturating_sub(room(ranked[index].1));
-                ranked[index].0 = f64::NEG_INFINITY;
-            }
-            ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        }
-        ranked.truncate(spread);
-        // The endpoint that gets the request also generates: the one with the shortest pass of
-        // those with room, or else the one with most room.
-        let fitting = ranked.iter().filter(|(_, load)| room(load) >= need);
-        let first = fitting
-            .min_by(|a, b| a.1.pass_ms.total_cmp(&b.1.pass_ms))
-            .or_else(|| ranked.iter().max_by_key(|(_, load)| room(load)))?;
-        let first = first.1;
-        let mut missing = need.saturating_sub(room(first));
-        let mut helpers: Vec<(&EngineLoad<'_>, u64)> = Vec::with_capacity(spread);
-        let mut others: Vec<&EngineLoad<'_>> = ranked.iter().map(|(_, load)| *load).collect();
-        others.retain(|load| load.state.live.id != first.state.live.id);
-        others.sort_by_key(|load| std::cmp::Reverse(room(load)));
-        for load in others {
-            let reserved = missing.min(room(load).saturating_sub(RESERVE_MARGIN));
-            missing -= reserved;
-            helpers.push((load, reserved));
-        }
-        let holders = helpers.iter().filter(|(_, reserved)| *reserved > 0).count();
-        if missing > 0 || holders > MOST_HOLDERS {
-            return None;
-        }
-
-        let start = ranked
-            .iter()
-            .map(|(_, load)| load.start_ms())
-            .fold(0.0, f64::max);
-        let predicted = start + read_ms + first.pass_ms + NETWORK_MS;
-        let shown = waiting.objective_at - now;
-        let mut gain = waiting.value * on_time_share(predicted, shown, waiting.gone_at - now);
-        let sum: f64 = ranked
+        let ranked = rank_members(now, waiting, profile, views, &addition);
+        let members = take_members(ranked, spread, need, profile)?;
+        let split = split_memory(&members, need, profile)?;
+
+        let start = members.iter().map(|view| view.load.start_ms());
+        let start = start.fold(0.0, f64::max);
+        let predicted = start + read_ms + split.first.load.pass_ms + NETWORK_MS;
+        let objective = waiting.objective_at - now;
+        let on_time = load::on_time_share(predicted, objective, waiting.gone_at - now);
+        let harm: f64 = members
             .iter()
-            .map(|(_, load)| {
-                load.harm(profile, &addition)
-                    + load.state.trouble.share(now) * waiting.value / spread as f64
+            .map(|view| {
+                let trouble = view.state.trouble.share(now) / spread as f64;
+                view.load.harm(profile, &addition) + trouble * waiting.value
             })
             .sum();
-        gain -= waiting.cost_share.sqrt() * sum;
-        gain -= waiting.cost_share * price * read_ms * spread as f64;
+        let gain = waiting.value * on_time
+            - waiting.cost_share.sqrt() * harm
+            - waiting.cost_share * price * read_ms * spread as f64;
 
-        let share = |load: &EngineLoad<'_>, memory: u64| MemberShare {
-            endpoint: load.state.live.id.clone(),
+        let share = |view: &EngineView<'_>, memory: u64| MemberShare {
+            endpoint: view.state.live.id.clone(),
             read_ms,
-            token_ms,
-            read_until: now + load.start_ms() + read_ms,
+            token_ms: addition.token_ms,
+            read_until: now + view.load.start_ms() + read_ms,
             memory,
         };
-        let reserved: u64 = helpers.iter().map(|(_, reserved)| reserved).sum();
-        let mut shares = vec![share(first, need.saturating_sub(reserved))];
-        shares.extend(helpers.iter().map(|(load, memory)| share(load, *memory)));
+        let mut shares = vec![share(split.first, split.first_tokens)];
+        let helpers = split.helpers.iter();
+        shares.extend(helpers.clone().map(|(view, tokens)| share(view, *tokens)));
         let plan = job::PlacePlan {
-            first: first.state.member(0),
+            first: split.first.state.member(0),
             helpers: helpers
-                .iter()
-                .map(|(load, reserved)| load.state.member(*reserved))
+                .map(|(view, tokens)| view.state.member(*tokens))
                 .collect(),
             predicted_ms: predicted,
             priority: engine_priority(&waiting.ask),
@@ -817,8 +766,8 @@
                 if first.is_some_and(|first| first.endpoint == share.endpoint) {
                     let pending = job.pending_ms(now, &state) + share.read_ms;
                     let pause = pass_ms + pending.min(most);
-                    job.lost = job.lost.max(late_chance(pause, job.pause_ms));
-                    job.cut = job.cut.max(late_chance(pause, job.patience_ms));
+                    job.lost = job.lost.max(load::late_chance(pause, job.pause_ms));
+                    job.cut = job.cut.max(load::late_chance(pause, job.patience_ms));
                 }
             }
         }
@@ -849,7 +798,7 @@
             gone_at: waiting.gone_at,
             first_event_at: now + predicted - NETWORK_MS,
             started: false,
-            lost: on_time_loss(predicted, waiting.objective_at - now),
+            lost: load::on_time_loss(predicted, waiting.objective_at - now),
             cut: 0.0,
             patience_ms: waiting.ask.patience_ms,
             context,
@@ -896,65 +845,117 @@
     }
 }
 
-/// What one engine does at a moment.
-struct EngineLoad<'a> {
+/// An engine with what it does.
+struct EngineView<'a> {
     state: &'a EndpointState,
-    backlog_ms: f64,
-    pass_ms: f64,
-    /// Longest time that a token takes of what is still to be read here, ms.
-    token_ms: f64,
-    generating: Vec<GeneratingJob>,
-    /// Time to spare and what is lost beyond it, for each request that is read here.
-    reading: Vec<(f64, f64)>,
-    /// Requests that this engine generates for, or will.
-    first_here: usize,
+    load: load::EngineLoad,
 }
 
-impl EngineLoad<'_> {
-    /// Time until something new is read here, ms.
-    fn start_ms(&self) -> f64 {
-        if self.generating.is_empty() {
-            self.backlog_ms
-        } else {
-            self.backlog_ms.max(self.pass_ms / 2.0)
-        }
+impl EngineView<'_> {
+    fn room(&self, profile: &serving::EngineProfile) -> u64 {
+        self.state.memory_free(profile)
     }
+}
 
-    /// What the requests here lose by added reading.
-    fn harm(&self, profile: &serving::EngineProfile, addition: &ReadAddition) -> f64 {
-        let most = engine::most_read_ms(profile, self.token_ms.max(addition.token_ms));
-        let pauses = self.generating.iter().map(|job| {
-            let before = self.pass_ms + job.pending_ms.min(most);
-            let after = self.pass_ms + (job.pending_ms + addition.read_ms).min(most);
-            let more = |bound: f64| late_chance(after, bound) - late_chance(before, bound);
-            more(job.pause_ms) * job.late_loss + more(job.patience_ms) * job.cut_loss
-        });
-        let delays = self.reading.iter().map(|(spare, loss)| {
-            let delayed = addition.ahead && *spare > 0.0 && *spare < addition.read_ms;
-            if delayed { *loss } else { 0.0 }
+/// Engines with room for one more request, those that lose least by it first.
+fn rank_members<'v, 'a>(
+    now: f64,
+    waiting: &WaitingAsk,
+    profile: &serving::EngineProfile,
+    views: &'v [EngineView<'a>],
+    addition: &load::ReadAddition,
+) -> Vec<&'v EngineView<'a>> {
+    let left = (waiting.objective_at - now).max(LEAST_LEFT_MS);
+    let wait_price = waiting.value / left;
+    let cost = |view: &EngineView<'_>| {
+        let away = view.state.live.centre != waiting.ask.centre;
+        view.load.harm(profile, addition)
+            + view.state.trouble.share(now) * waiting.value
+            + if away { CROSS_CENTRE_PRICE } else { 0.0 }
+            + view.load.start_ms() * wait_price
+            + CROWD_PRICE * view.load.first_here as f64
+    };
+    let open = views
+        .iter()
+        .filter(|view| view.state.jobs.len() < view.state.live.slots as usize);
+    let mut ranked: Vec<(f64, &EngineView<'_>)> = open.map(|view| (cost(view), view)).collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.into_iter().map(|(_, view)| view).collect()
+}
+
+/// The first `spread` of some engines; if none of these has room for a prompt, those with most
+/// room go before, as many as it needs.
+fn take_members<'v, 'a>(
+    mut ranked: Vec<&'v EngineView<'a>>,
+    spread: usize,
+    need: u64,
+    profile: &serving::EngineProfile,
+) -> Option<Vec<&'v EngineView<'a>>> {
+    if ranked.len() < spread {
+        return None;
+    }
+    if ranked[..spread]
+        .iter()
+        .all(|view| view.room(profile) < need)
+    {
+        let mut by_room = ranked.clone();
+        by_room.sort_by_key(|view| cmp::Reverse(view.room(profile)));
+        let mut missing = need;
+        by_room.retain(|view| {
+            let taken = missing > 0;
+            missing = missing.saturating_sub(view.room(profile));
+            taken
         });
-        pauses.sum::<f64>() + delays.sum::<f64>()
+        let taken = |view: &&EngineView<'_>| {
+            let mut others = by_room.iter();
+            others.any(|other| other.state.live.id == view.state.live.id)
+        };
+        ranked.sort_by_key(|view| !taken(view));
     }
+    ranked.truncate(spread);
+    Some(ranked)
 }
 
-/// Reading that is to be added to an engine.
-struct ReadAddition {
-    read_ms: f64,
-    token_ms: f64,
-    /// Whether it goes ahead of what waits there.
-    ahead: bool,
+/// Where the memory of a prompt lies.
+struct MemorySplit<'v, 'a> {
+    /// The engine that gets the request, and generates.
+    first: &'v EngineView<'a>,
+    /// Tokens of memory that it holds.
+    first_tokens: u64,
+    /// The others, with the tokens that are reserved there.
+    helpers: Vec<(&'v EngineView<'a>, u64)>,
 }
 
-/// A request that generates, and what it loses by pauses.
-struct GeneratingJob {
-    /// Reading that was placed here and falls into its generation, ms.
-    pending_ms: f64,
-    /// Longest pause that is on time, ms.
-    pause_ms: f64,
-    late_loss: f64,
-    /// Pause at which its caller gives up, ms.
-    patience_ms: f64,
-    cut_loss: f64,
+/// Splits the memory of a prompt over its engines: all of it on the one with the shortest pass of
+/// those with room, or else what the one with most room can't take on others.
+fn split_memory<'v, 'a>(
+    members: &[&'v EngineView<'a>],
+    need: u64,
+    profile: &serving::EngineProfile,
+) -> Option<MemorySplit<'v, 'a>> {
+    let fitting = members.iter().filter(|view| view.room(profile) >= need);
+    let first = fitting
+        .min_by(|a, b| a.load.pass_ms.total_cmp(&b.load.pass_ms))
+        .or_else(|| members.iter().max_by_key(|view| view.room(profile)))?;
+    let mut missing = need.saturating_sub(first.room(profile));
+    let first_tokens = need - missing;
+    let mut others: Vec<&EngineView<'_>> = members.to_vec();
+    others.retain(|view| view.state.live.id != first.state.live.id);
+    others.sort_by_key(|view| cmp::Reverse(view.room(profile)));
+    let mut helpers = Vec::with_capacity(others.len());
+    for view in others {
+        let room = view.room(profile).saturating_sub(RESERVE_MARGIN);
+        let reserved = missing.min(room);
+        missing -= reserved;
+        helpers.push((view, reserved));
+    }
+    let holders = helpers.iter().filter(|(_, reserved)| *reserved > 0).count();
+    let fits = missing == 0 && holders <= MOST_HOLDERS;
+    fits.then_some(MemorySplit {
+        first,
+        first_tokens,
+        helpers,
+    })
 }
 
 impl PlacedJob {
@@ -976,29 +977,6 @@
     }
 }
 
-/// Chance that a first event is late, from its prediction.
-fn on_time_loss(predicted: f64, objective: f64) -> f64 {
-    late_chance(predicted, objective.max(1.0))
-}
-
-/// Chance that a pause is over its bound, from its prediction.
-fn late_chance(predicted: f64, bound: f64) -> f64 {
-    if bound <= 0.0 {
-        return 0.0;
-    }
-    let low = bound * (1.0 - 2.0 * UNCERTAINTY);
-    ((predicted - low) / (bound - low)).clamp(0.0, 1.0)
-}
-
-/// Share of a request's worth that it earns if its first event comes as predicted.
-fn on_time_share(predicted: f64, objective: f64, left: f64) -> f64 {
-    if predicted >= left {
-        return 0.0;
-    }
-    let late = on_time_loss(predicted, objective);
-    1.0 - late * (1.0 - value::LATE_SHARE)
-}
-
 fn most_members(tokens: u64) -> usize {
     let most = usize::try_from(tokens / LEAST_PART_TOKENS).unwrap_or(1);
     most.max(1)
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -4,7 +4,6 @@
 mod figures;
 
 use std::sync;
-use std::time;
 
 use model::ids;
 use model::map;
@@ -23,7 +22,6 @@
         centre: ids::CentreId::new("a"),
         slots: 16,
         leaving: false,
-        cold_left: time::Duration::ZERO,
         born_ms: 0,
     };
     (0..count).map(engine).collect()
@@ -40,7 +38,6 @@
     let service = ids::ServiceId::new("llm");
     let profile = serving::ServiceProfile {
         service: service.clone(),
-        connections: 300,
         cold_rate,
         engine: Some(figures::profile(16, 51)),
     };
@@ -58,7 +55,6 @@
         shape: job::JobShape::Prompt {
             tokens,
             answer_tokens: 1_000,
-            answer_guess: None,
         },
         centre: ids::CentreId::new("a"),
         objective_ms,
--- a/crates/pool/tests/support/figures.rs
+++ b/crates/pool/tests/support/figures.rs
@@ -1,7 +1,5 @@
 //! Figures of the users' engines.
 
-use std::time;
-
 use model::serving;
 
 /// The engines of the users' deployments.
@@ -16,7 +14,5 @@
         read_tokens_per_ms: 177.0,
         pairs_ms_per_million: 0.184,
         chunk_tokens: 2_048,
-        report_lag: time::Duration::from_millis(200),
-        usual_answer_tokens: 1_622,
     }
 }
--- a/crates/pool/tests/support/play.rs
+++ b/crates/pool/tests/support/play.rs
@@ -11,7 +11,6 @@
 use sardinepaddle_pool::job;
 use sardinepaddle_pool::placer;
 use sardinepaddle_pool::trouble;
-use std::time;
 
 use crate::support::engine;
 
@@ -131,7 +130,6 @@
             service.clone(),
             std::sync::Arc::new(serving::ServiceProfile {
                 service: service.clone(),
-                connections: 300,
                 cold_rate: 26.0,
                 engine: Some(profile.clone()),
             }),
@@ -145,7 +143,6 @@
                 centre: ids::CentreId::new(["a", "b", "c"][index % 3]),
                 slots: profile.slots,
                 leaving: false,
-                cold_left: time::Duration::ZERO,
                 born_ms: 0,
             })
             .collect();
@@ -287,7 +284,6 @@
             shape: job::JobShape::Prompt {
                 tokens: request.prompt as u64,
                 answer_tokens: request.answer as u64,
-                answer_guess: None,
             },
             centre: ids::CentreId::new("a"),
             objective_ms: request.first_asked_at + kind.objective_ms - now,
