--- a/crates/node/src/systems/queues.rs
+++ b/crates/node/src/systems/queues.rs
@@ -146,6 +146,7 @@
     account.asking = account.asking.filter(|asking| *asking != id);
     if !left {
         account.last_start = None;
+        account.started = false;
         account.rest_until = now;
         return;
     }
--- a/crates/node/src/tables/queue.rs
+++ b/crates/node/src/tables/queue.rs
@@ -27,6 +27,8 @@
     pub asking: Option<ids::RequestId>,
     /// Last start of a request that had waited, or since when requests wait.
     pub last_start: Option<time::MonoTime>,
+    /// Whether that was a start.
+    pub started: bool,
     /// Mean time between two starts while requests wait, in seconds.
     pub start_gap: Option<f64>,
     /// Mean time from the start to the end, in seconds.
@@ -40,10 +42,11 @@
 impl QueueState {
     /// Notes that a request that had waited was started.
     pub fn note_start(&mut self, now: time::MonoTime) {
-        if let Some(last) = self.last_start {
+        if let Some(last) = self.last_start.filter(|_| self.started) {
             mix(&mut self.start_gap, now.since(last).as_secs_f64());
         }
         self.last_start = Some(now);
+        self.started = true;
     }
 
     /// Notes how long a request ran.
@@ -92,6 +95,7 @@
         for (key, account) in &mut self.queues {
             if !waiting.contains(key) {
                 account.last_start = None;
+                account.started = false;
             }
         }
     }
--- a/crates/node/tests/queues.rs
+++ b/crates/node/tests/queues.rs
@@ -290,3 +290,23 @@
     let refused = driver.ended.iter().any(|(count, _)| *count == 100);
     assert!(!refused, "{:?}", driver.ended);
 }
+
+// Until the endpoints of a new fleet have keepers, nothing starts for three seconds; that wait was
+// taken as the time between two starts (shutdown.rs again, with the pause above counted once).
+#[test]
+fn the_wait_for_the_first_start_is_not_taken_for_the_pace_of_starts() {
+    let mut driver = QueueDriver::new(1);
+    for count in 1..=4 {
+        driver.ask(count, "large", 2_000, Duration::from_secs(60));
+    }
+    driver.pass(Duration::from_secs(3));
+    for _ in 0..4 {
+        driver.finish_first();
+        driver.pass(Duration::from_millis(60));
+    }
+    for count in 11..=30 {
+        driver.ask(count, "large", 2_000, Duration::from_secs(30));
+    }
+    let refused = driver.ended.iter().filter(|(count, _)| *count > 10);
+    assert_eq!(refused.count(), 0, "{:?}", driver.ended);
+}
