--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -194,11 +194,11 @@
         let wait = self.watch_wait();
         let batch = match self.client.watch(self.kind, revision, wait).await {
             Err(store::StoreError::HistoryGone) => {
-                log::info!(target: "sardinepaddle", kind = self.kind.wire_name(), revision;
+                log::info!(target: "sardinepaddle", kind = self.kind.name(), revision;
                     "history is gone: listing anew");
                 self.world
                     .metrics
-                    .store_call(self.kind.wire_name(), "history_gone");
+                    .store_call(self.kind.name(), "history_gone");
                 self.revision = None;
                 return Ok(false);
             }
@@ -278,7 +278,7 @@
     }
 
     fn note_answer(&mut self) {
-        let kind = self.kind.wire_name();
+        let kind = self.kind.name();
         self.world.metrics.store_call(kind, "done");
         log::debug!(target: "sardinepaddle", kind, leads:% = self.world.leads(),
             revision = self.revision.unwrap_or_default(); "store answered");
@@ -292,7 +292,7 @@
     }
 
     fn note_failure(&mut self, error: &store::StoreError) {
-        let kind = self.kind.wire_name();
+        let kind = self.kind.name();
         self.world.metrics.store_call(kind, "failed");
         self.world.note_sight(self.kind, false);
         log::debug!(target: "sardinepaddle", kind, leads:% = self.world.leads(), error:% = error;
@@ -307,7 +307,7 @@
 
     fn log_skipped(&self, skipped: &[String]) {
         for reason in skipped {
-            log::warn!(target: "sardinepaddle", kind = self.kind.wire_name(), reason;
+            log::warn!(target: "sardinepaddle", kind = self.kind.name(), reason;
                 "entry skipped: unreadable");
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -641,8 +641,7 @@
             ));
         }
         if marks.not_run {
-            let misdirected = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
-            let sign = if misdirected {
+            let sign = if marks.misdirected {
                 trouble::EndpointSign::Unreachable
             } else {
                 trouble::EndpointSign::Full
@@ -683,9 +682,8 @@
         let limited = http_body_util::Limited::new(body, FAILURE_BODY_BYTES);
         let whole = time::timeout(span(self.request.left_ms()), limited.collect()).await;
         if let Ok(Ok(whole)) = whole {
-            let promise = [429, 503, 408, 421].contains(&parts.status.as_u16());
             // A status that promises that nothing ran is not passed on without the proof.
-            fault.failure = (!promise).then(|| EndpointFailure {
+            fault.failure = (!marks.promises_not_run).then(|| EndpointFailure {
                 status: parts.status,
                 headers: parts.headers,
                 body: whole.to_bytes(),
