--- a/crates/cli/src/stand_ins.rs
+++ b/crates/cli/src/stand_ins.rs
@@ -215,18 +215,20 @@
         model: shape.model.clone(),
         bytes_per_token: 4,
     };
-    fleet
-        .services
-        .insert(ids::ServiceId::new(&shape.model_service), service(kind));
+    fleet.services.insert(
+        ids::ServiceId::new(&shape.model_service),
+        fleet::service(kind),
+    );
     let kind = config::ServiceKind::Plain {
         path_prefix: PLAIN_PREFIX.to_owned(),
     };
-    fleet
-        .services
-        .insert(ids::ServiceId::new(&shape.plain_service), service(kind));
+    fleet.services.insert(
+        ids::ServiceId::new(&shape.plain_service),
+        fleet::service(kind),
+    );
     for (index, engine) in engines.iter().enumerate() {
         let centre = &shape.centres[index % shape.centres.len()];
-        let mut entry = endpoint(&shape.model_service, centre, engine.address());
+        let mut entry = fleet::endpoint(&shape.model_service, centre, engine.address());
         entry.slots = shape.engine.slots;
         entry.memory_tokens = shape.engine.memory_tokens;
         entry.cold_slots = shape.engine.cold_slots;
@@ -235,24 +237,11 @@
             .insert(ids::EndpointId::new(&format!("engine-{index}")), entry);
     }
     let name = format!("{}-0", shape.plain_service);
-    let entry = endpoint(&shape.plain_service, &shape.centres[0], plain.address());
+    let entry = fleet::endpoint(&shape.plain_service, &shape.centres[0], plain.address());
     fleet.endpoints.insert(ids::EndpointId::new(&name), entry);
     fleet
 }
 
-fn service(kind: config::ServiceKind) -> config::ServiceEntry {
-    config::ServiceEntry {
-        kind,
-        timeout_ms: 30_000,
-        non_idempotent: Vec::new(),
-    }
-}
-
-fn endpoint(service: &str, centre: &str, address: net::SocketAddr) -> config::EndpointEntry {
-    let service = ids::ServiceId::new(service);
-    config::EndpointEntry::new(service, ids::CentreId::new(centre), address)
-}
-
 /// Changes the configuration by a conditional update.
 pub(crate) async fn change_config(
     platform: &client::PlatformClient,
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -476,7 +476,8 @@
     serde_yaml_ng::to_string(value).map_err(io::Error::other)
 }
 
-fn service(kind: config::ServiceKind) -> config::ServiceEntry {
+/// A service with the time limit of the stand-ins, all of whose calls are idempotent by method.
+pub fn service(kind: config::ServiceKind) -> config::ServiceEntry {
     config::ServiceEntry {
         kind,
         timeout_ms: 30_000,
@@ -484,7 +485,8 @@
     }
 }
 
-fn endpoint(service: &str, centre: &str, address: net::SocketAddr) -> config::EndpointEntry {
+/// An endpoint of a service in a data centre.
+pub fn endpoint(service: &str, centre: &str, address: net::SocketAddr) -> config::EndpointEntry {
     let service = ids::ServiceId::new(service);
     config::EndpointEntry::new(service, ids::CentreId::new(centre), address)
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -127,6 +127,21 @@
         self.send(&message).await
     }
 
+    /// Receives the next message that is not about objects of the store; takes those in.
+    async fn receive_other(&mut self, from: &ids::HostId) -> Result<LinkMessage> {
+        loop {
+            match self.receive().await? {
+                LinkMessage::Objects(objects) => self.take_objects(objects, from.as_str()),
+                LinkMessage::Packed {
+                    object,
+                    base,
+                    packed,
+                } => self.take_large(object, base, &packed, from.as_str())?,
+                other => return Ok(other),
+            }
+        }
+    }
+
     /// Takes a large object in; the other side needs it not back.
     fn take_large(
         &mut self,
@@ -203,11 +218,7 @@
         let mut checks = time::interval(BEAT_PERIOD);
         loop {
             tokio::select! {
-                message = self.receive() => match message? {
-                    LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
-                    LinkMessage::Packed { object, base, packed } => {
-                        self.take_large(object, base, &packed, host.as_str())?;
-                    }
+                message = self.receive_other(host) => match message? {
                     LinkMessage::Beat { ages_ms, sighted, .. } => {
                         self.world.note_ages(&ages_ms);
                         let follow = self.world.choose_follower(host, sighted);
@@ -239,11 +250,7 @@
         let mut beats = time::interval(BEAT_PERIOD);
         loop {
             tokio::select! {
-                message = self.receive() => match message? {
-                    LinkMessage::Objects(objects) => self.take_objects(objects, host.as_str()),
-                    LinkMessage::Packed { object, base, packed } => {
-                        self.take_large(object, base, &packed, host.as_str())?;
-                    }
+                message = self.receive_other(host) => match message? {
                     LinkMessage::Beat { ages_ms, state, follow, .. } => {
                         self.world.note_ages(&ages_ms);
                         self.world.set_told_to_follow(follow);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -464,13 +464,11 @@
     }
 
     fn end_at_fault(&mut self, lease: &mut JobLease, plan: &job::PlacePlan, fault: &AttemptFault) {
-        let at_fault = fault.at_fault.clone();
-        let avoided = at_fault.clone();
-        self.avoid
-            .push(avoided.unwrap_or_else(|| plan.first.endpoint.clone()));
+        let avoided = fault.at_fault.as_ref().unwrap_or(&plan.first.endpoint);
+        self.avoid.push(avoided.clone());
         lease.end(job::JobEnd {
             sign: fault.sign,
-            at_fault,
+            at_fault: fault.at_fault.clone(),
         });
     }
 
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -637,7 +637,7 @@
                 load.first_here += 1;
                 context += job.context;
                 load.generating.push(load::GeneratingJob {
-                    pending_ms: job.pending_ms(now, state),
+                    pending_ms: job.pending_ms(now, state.read_free_at),
                     pause_ms: job.pause_ms,
                     late_loss: job.at_stake(),
                     patience_ms: job.patience_ms,
@@ -757,14 +757,14 @@
             let load = self.engine_load(now, state, engine);
             let (pass_ms, token_ms) = (load.pass_ms, load.token_ms.max(share.token_ms));
             let most = engine::most_read_ms(engine, token_ms);
-            let state = state.clone();
-            for id in &state.jobs {
+            let (jobs, read_free_at) = (state.jobs.clone(), state.read_free_at);
+            for id in &jobs {
                 let Some(job) = self.jobs.get_mut(id) else {
                     continue;
                 };
                 let first = job.members.first();
                 if first.is_some_and(|first| first.endpoint == share.endpoint) {
-                    let pending = job.pending_ms(now, &state) + share.read_ms;
+                    let pending = job.pending_ms(now, read_free_at) + share.read_ms;
                     let pause = pass_ms + pending.min(most);
                     job.lost = job.lost.max(load::late_chance(pause, job.pause_ms));
                     job.cut = job.cut.max(load::late_chance(pause, job.patience_ms));
@@ -959,11 +959,11 @@
 }
 
 impl PlacedJob {
-    /// Reading placed on its engine that falls into its generation, ms.
-    fn pending_ms(&self, now: f64, state: &EndpointState) -> f64 {
+    /// Reading placed on its engine, done at `read_free_at`, that falls into its generation, ms.
+    fn pending_ms(&self, now: f64, read_free_at: f64) -> f64 {
         let read = self.members.first().map_or(now, |share| share.read_until);
         let from = if self.started { now } else { read.max(now) };
-        (state.read_free_at - from).max(0.0)
+        (read_free_at - from).max(0.0)
     }
 
     /// Worth that it loses if it gets late.
