Turn ready only once endpoints and emptied data centres are listed

Each kind of the store's objects is listed by a task of its own, and the daemon was ready with the configuration alone; a request between it and the list of endpoints was refused as without any endpoint. The same window let a request into a data centre that is emptied. Ruled out: the order of readiness and ports (the test waited for a route's 404, so for the configuration). Change: ready, placing and serving need the configuration, the endpoints and the emptied data centres listed once, here or by a daemon that has them; a list from an old copy counts as an old one. Test: a_daemon_is_ready_once_it_has_listed_where_requests_may_go, failing before (200 at once).

--- a/crates/daemon/tests/behind_platform.rs
+++ b/crates/daemon/tests/behind_platform.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 const KEY: &str = "key-1";
+const LOG_FILE: &str = "daemon.log";
 /// Longest time that a test waits for something that comes in milliseconds.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -64,11 +65,15 @@
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
     metrics: net::SocketAddr,
-    _files: tempfile::TempDir,
+    files: tempfile::TempDir,
 }
 
 impl Drop for RunningDaemon {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(self.files.path().join(LOG_FILE));
+            eprintln!("log of the daemon:\n{}", log.unwrap_or_default());
+        }
         // One that has ended needs no killing.
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -105,7 +110,7 @@
             .arg("--behind-platform")
             .arg("--settings")
             .arg(&path)
-            .stdout(process::Stdio::null())
+            .stdout(std::fs::File::create(files.path().join(LOG_FILE)).unwrap())
             .spawn()
             .unwrap();
         Self {
@@ -113,7 +118,7 @@
             callers,
             readiness,
             metrics,
-            _files: files,
+            files,
         }
     }
 
@@ -516,6 +521,25 @@
     assert!(answer.head.contains("retry-after: "));
 }
 
+// CI, 4 Dec: a request right after readiness was refused, as the list of endpoints came later than
+// the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_is_ready_once_it_has_listed_where_requests_may_go() {
+    for kind in ["servers", "evacuations"] {
+        let store = StandInStore::start().await;
+        store.put("config", "main", config(1, &usual_routes()));
+        endpoints(&store, &[EndpointScript::Answer]).await;
+        store.withhold(Some(kind));
+        let daemon = RunningDaemon::start(&store);
+        std::thread::sleep(Duration::from_millis(500));
+        let readiness = exchange(daemon.readiness, "GET /-/readyz HTTP/1.1", &[]);
+        assert_eq!(readiness.status, 503, "without {kind}");
+        store.withhold(None);
+        daemon.wait_ready();
+        assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "r1").status, 200);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_over_the_limit_is_refused() {
     let (_store, endpoints, daemon) = deployment(&[EndpointScript::Answer]).await;
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -186,6 +186,7 @@
         for name in missing {
             self.remove(name, batch.revision);
         }
+        self.world.note_listed(self.kind);
         Ok(false)
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -124,7 +124,7 @@
             .request("", "turned_away", own.reason(), world.now() - arrived);
         own
     };
-    if !world.has_config() {
+    if !world.is_informed() {
         return Err(refuse(answer::OwnAnswer::NotReady));
     }
     let index = world.index();
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -18,6 +18,11 @@
 /// Time that a message between daemons takes at most as a rule, ms: told ages grow by it, so that
 /// what is passed around does not stay young.
 const TRANSIT_MS: f64 = 5.0;
+/// Age that a list counts as which the store may have served from an old copy, ms: over each bound
+/// on the age of a kind.
+const OLD_COPY_MS: f64 = 60_000.0;
+/// Age told for a kind that was never listed, ms.
+const NEVER_LISTED_MS: u64 = 1_000_000_000;
 
 /// Known objects of the store, decoded.
 pub(crate) struct StoreKnowledge {
@@ -86,13 +91,38 @@
         self.fresh_at[kind as usize] = now;
     }
 
+    /// The store listed a kind, perhaps from an old copy.
+    pub fn note_listed(&mut self, now: f64, kind: catalog::ObjectKind) {
+        let fresh_at = &mut self.fresh_at[kind as usize];
+        *fresh_at = fresh_at.max(now - OLD_COPY_MS);
+    }
+
+    /// Ages of all kinds as told to other daemons, ms.
+    pub fn ages(&self, now: f64) -> Vec<u64> {
+        let ages = self.fresh_at.iter();
+        ages.map(|fresh_at| (now - fresh_at).clamp(0.0, NEVER_LISTED_MS as f64) as u64)
+            .collect()
+    }
+
     /// Another daemon told how old its knowledge is.
     pub fn note_ages(&mut self, now: f64, ages_ms: &[u64]) {
         for (fresh_at, age) in self.fresh_at.iter_mut().zip(ages_ms) {
-            *fresh_at = fresh_at.max(now - *age as f64 - TRANSIT_MS);
+            if *age < NEVER_LISTED_MS {
+                *fresh_at = fresh_at.max(now - *age as f64 - TRANSIT_MS);
+            }
         }
     }
 
+    /// Whether enough is known to send requests on: the configuration, the endpoints, and which
+    /// data centres are to get nothing.
+    pub fn is_complete(&self) -> bool {
+        let kinds = [
+            catalog::ObjectKind::Endpoints,
+            catalog::ObjectKind::Emptied,
+        ];
+        self.version() > 0 && kinds.iter().all(|kind| self.fresh_at(*kind).is_finite())
+    }
+
     /// Number of the newest change of the copy.
     pub fn last_change(&self) -> u64 {
         self.replica.last_change()
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -137,9 +137,9 @@
         self.known.borrow().index()
     }
 
-    /// Whether a configuration is known.
-    pub fn has_config(&self) -> bool {
-        self.known.borrow().version() > 0
+    /// Whether enough is known of the store to send requests on.
+    pub fn is_informed(&self) -> bool {
+        self.known.borrow().is_complete()
     }
 
     /// What is known of the store.
@@ -169,10 +169,12 @@
 
     /// Ages of all kinds, whole ms.
     pub fn ages(&self) -> Vec<u64> {
-        let kinds = catalog::ObjectKind::ALL.into_iter();
-        kinds
-            .map(|kind| self.age(kind).clamp(0.0, 1e9) as u64)
-            .collect()
+        self.known.borrow().ages(self.now())
+    }
+
+    /// The store listed a kind, perhaps from an old copy.
+    pub fn note_listed(&self, kind: catalog::ObjectKind) {
+        self.known.borrow_mut().note_listed(self.now(), kind);
     }
 
     /// The store told of a kind.
@@ -204,7 +206,7 @@
 
     /// Whether new requests are welcome here.
     pub fn is_ready(&self) -> bool {
-        self.has_config() && !self.is_leaving()
+        self.is_informed() && !self.is_leaving()
     }
 
     /// Whether the process was asked to end.
@@ -224,7 +226,7 @@
 
     /// Whether this daemon can place for others.
     pub fn placer_state(&self) -> message::PlacerState {
-        match (self.has_config(), self.is_leaving()) {
+        match (self.is_informed(), self.is_leaving()) {
             (false, _) => message::PlacerState::Unready,
             (true, true) => message::PlacerState::Leaving,
             (true, false) => message::PlacerState::Placing,
