--- a/crates/fakes/src/scenario/run.rs
+++ b/crates/fakes/src/scenario/run.rs
@@ -54,12 +54,12 @@
         ended: collections::BTreeMap::new(),
     };
     for (index, step) in file.steps.iter().enumerate() {
-        step::carry_out(&mut run, step)
-            .await
-            .map_err(|text| error::ScenarioError::Step {
+        if let Err(text) = step::carry_out(&mut run, step).await {
+            return Err(error::ScenarioError::Step {
                 number: index + 1,
-                text,
-            })?;
+                text: format!("{text}\n{}", run.daemon_logs()),
+            });
+        }
     }
     let mut failures = Vec::new();
     for expectation in &file.expect {
