Keep a daemon's newer connection; drop lapsed entries also while not following; weigh jobs in one place

Four faults found by reading, each now with a test that failed first where it shows in a test: - The end of an old connection of a daemon cut its newer one off and withdrew its jobs: followers were kept by life alone. FollowerTable drops only the connection that speaks (tests/followers.rs). - An ask that came again over a new connection was placed a second time, and the memory of one of the two places was never given back: it now takes the place of the first (tests/placer.rs). - A feed that stopped following kept what had lapsed for ever, and dropped it with the revision of its last answer instead of that of the removal (tests/behind_platform.rs). - A job taken over was valued as a plain call: ask and adopt weigh in one place. Messages that do not fit the side of a link are logged before they are dropped.

--- a/crates/daemon/tests/behind_platform.rs
+++ b/crates/daemon/tests/behind_platform.rs
@@ -71,8 +71,7 @@
 impl Drop for RunningDaemon {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            let log = std::fs::read_to_string(self.files.path().join(LOG_FILE));
-            eprintln!("log of the daemon:\n{}", log.unwrap_or_default());
+            eprintln!("log of the daemon:\n{}", self.log());
         }
         // One that has ended needs no killing.
         let _ = self.child.kill();
@@ -137,6 +136,10 @@
         });
     }
 
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.files.path().join(LOG_FILE)).unwrap_or_default()
+    }
+
     fn call(&self, line: &str, id: &str) -> SeenAnswer {
         let key = format!("Authorization: Bearer {KEY}");
         let id = format!("X-Attempt-Id: {id}");
@@ -440,6 +443,24 @@
     });
 }
 
+// A daemon that no longer followed the store kept what had lapsed for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lapsed_entry_that_does_not_come_back_is_gone_also_while_the_daemon_ends() {
+    let (store, _endpoints, daemon) = deployment(&[EndpointScript::Answer]).await;
+    store.set_mode(StoreMode::Busy);
+    std::thread::sleep(Duration::from_millis(1_500));
+    store.remove("servers", "e0");
+    store.set_mode(StoreMode::Up);
+    RunningDaemon::wait_for("the lapse", || daemon.log().contains("entry lapsed"));
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "lapsed").status, 200);
+    daemon.terminate();
+    RunningDaemon::wait_for("its end", || {
+        daemon.call("GET /safe/ HTTP/1.1", "gone").status == 503
+    });
+    let metrics = exchange(daemon.metrics, "GET /metrics HTTP/1.1", &[]);
+    assert!(metrics.body.contains("reason=\"no_endpoint\""));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_endpoints_and_emptied_data_centres_get_nothing() {
     let (store, endpoints, daemon) = deployment(&[EndpointScript::Answer]).await;
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -50,8 +50,16 @@
     away: bool,
     /// When the store was back after it had been away.
     back_at: f64,
-    /// Removals held back, with the time at which they count.
-    held: map::HashMap<String, f64>,
+    /// Removals held back, by names.
+    held: map::HashMap<String, HeldRemoval>,
+}
+
+/// A removal that may be a lapse.
+#[derive(Clone, Copy, Debug)]
+struct HeldRemoval {
+    /// When it counts, ms.
+    until: f64,
+    revision: u64,
 }
 
 /// Follows all kinds until the process ends.
@@ -100,6 +108,7 @@
         let mut pause = first;
         loop {
             if !self.follows() {
+                self.drop_held();
                 time::sleep(IDLE_PAUSE).await;
                 continue;
             }
@@ -226,7 +235,8 @@
 
     fn watch_wait(&self) -> Duration {
         let now = self.world.now();
-        let due = self.held.values().copied().fold(f64::INFINITY, f64::min);
+        let due = self.held.values().map(|removal| removal.until);
+        let due = due.fold(f64::INFINITY, f64::min);
         let until_due = Duration::from_secs_f64(((due - now) / 1_000.0).clamp(0.02, 60.0));
         let wait = Duration::from_secs_f64(WAIT_SHARE * self.bound_ms() / 1_000.0);
         wait.min(until_due)
@@ -251,9 +261,13 @@
         if self.kind == catalog::ObjectKind::Endpoints && self.world.now() < until {
             log::info!(target: "sardinepaddle", endpoint = name, revision;
                 "entry lapsed with the store: held for its return");
-            self.held.insert(name, until);
+            self.held.insert(name, HeldRemoval { until, revision });
             return;
         }
+        self.apply_removal(name, revision);
+    }
+
+    fn apply_removal(&self, name: String, revision: u64) {
         let object = replica::ReplicaObject {
             kind: self.kind as u8,
             name,
@@ -263,18 +277,18 @@
         self.world.apply(vec![object], "store");
     }
 
+    /// Takes in the removals that have been held long enough.
     fn drop_held(&mut self) {
         let now = self.world.now();
-        let revision = self.revision.unwrap_or_default();
-        let due: Vec<String> = self
-            .held
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(name, _)| name.clone())
+        let due = self.held.iter().filter(|(_, removal)| removal.until <= now);
+        let due: Vec<(String, u64)> = due
+            .map(|(name, removal)| (name.clone(), removal.revision))
             .collect();
-        for name in due {
+        for (name, revision) in due {
             self.held.remove(&name);
-            self.remove(name, revision);
+            log::info!(target: "sardinepaddle", endpoint = name, revision;
+                "lapsed entry did not come back");
+            self.apply_removal(name, revision);
         }
     }
 
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -116,10 +116,7 @@
     /// Whether enough is known to send requests on: the configuration, the endpoints, and which
     /// data centres are to get nothing.
     pub fn is_complete(&self) -> bool {
-        let kinds = [
-            catalog::ObjectKind::Endpoints,
-            catalog::ObjectKind::Emptied,
-        ];
+        let kinds = [catalog::ObjectKind::Endpoints, catalog::ObjectKind::Emptied];
         self.version() > 0 && kinds.iter().all(|kind| self.fresh_at(*kind).is_finite())
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! One thread does all work, as hosts have a fraction of a core.
 
 pub mod events;
+pub mod followers;
 pub mod message;
 pub mod packing;
 pub mod run;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -196,10 +196,10 @@
     async fn serve_follower(mut self) -> Result<()> {
         let (host, life, _) = self.greet().await?;
         let (sender, mut outbox) = mpsc::unbounded_channel();
-        self.world.add_follower(life, sender);
+        self.world.add_follower(life, sender.clone());
         log::info!(target: "sardinepaddle", daemon:% = host, life; "daemon connected");
         let end = self.follower_loop(life, &host, &mut outbox).await;
-        self.world.drop_follower(&host, life);
+        self.world.drop_follower(&host, life, &sender);
         if let Err(error) = &end {
             log::info!(target: "sardinepaddle", daemon:% = host, life, error:% = error;
                 "daemon disconnected");
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::followers;
 use crate::knowledge;
 use crate::logs;
 use crate::message;
@@ -69,8 +70,8 @@
     role: cell::RefCell<PlacerRole>,
     pending: cell::RefCell<map::HashMap<job::JobId, PendingAsk>>,
     running: cell::RefCell<map::HashMap<job::JobId, job::RunningJob>>,
-    /// Daemons whose requests this one places, by their lives.
-    followers: cell::RefCell<map::HashMap<u64, mpsc::UnboundedSender<message::LinkMessage>>>,
+    /// Daemons whose requests this one places.
+    followers: cell::RefCell<followers::FollowerTable<message::LinkMessage>>,
     /// Number of the newest change of the replica.
     changes: watch::Sender<u64>,
     /// When the process was asked to end, ms.
@@ -421,10 +422,8 @@
                 self.resolve(job, verdict);
                 continue;
             }
-            let followers = self.followers.borrow();
-            let sender = followers.get(&job.life);
             let message = message::LinkMessage::Verdict { job, verdict };
-            if sender.is_none_or(|sender| sender.send(message).is_err()) {
+            if !self.followers.borrow().send(job.life, message) {
                 log::info!(target: "sardinepaddle", job = job.number, life = job.life;
                     "verdict dropped: its daemon is not connected");
             }
@@ -502,13 +501,14 @@
                 }
             }
             message::LinkMessage::Verdict { job, verdict } => self.resolve(job, verdict),
-            _ => {}
+            _ => log::warn!(target: "sardinepaddle",
+                "message dropped: not one of a placing daemon"),
         }
     }
 
     /// A daemon connected to have its requests placed here.
     pub fn add_follower(&self, life: u64, sender: mpsc::UnboundedSender<message::LinkMessage>) {
-        self.followers.borrow_mut().insert(life, sender);
+        self.followers.borrow_mut().connect(life, sender);
         self.share_budget();
     }
 
@@ -523,10 +523,19 @@
         self.placer.borrow_mut().set_repeat_share(share);
     }
 
-    /// The connection of such a daemon is over.
-    pub fn drop_follower(&self, host: &ids::HostId, life: u64) {
+    /// A connection of such a daemon is over.
+    pub fn drop_follower(
+        &self,
+        host: &ids::HostId,
+        life: u64,
+        sender: &mpsc::UnboundedSender<message::LinkMessage>,
+    ) {
+        if !self.followers.borrow_mut().disconnect(life, sender) {
+            log::info!(target: "sardinepaddle", daemon:% = host, life;
+                "old connection over: the daemon has a newer one");
+            return;
+        }
         self.sights.borrow_mut().remove(host);
-        self.followers.borrow_mut().remove(&life);
         self.share_budget();
         self.placer.borrow_mut().withdraw_life(self.now(), life);
         self.sweep();
@@ -546,10 +555,10 @@
                 self.placer.borrow_mut().ask(now, job, ask);
                 let waits = !self.placer.borrow().has_verdict(job);
                 self.pass_verdicts();
-                let followers = self.followers.borrow();
-                if let Some(sender) = followers.get(&life).filter(|_| waits) {
+                if waits {
                     // A follower that is gone takes its asks along.
-                    let _ = sender.send(message::LinkMessage::Queued { job });
+                    let queued = message::LinkMessage::Queued { job };
+                    self.followers.borrow().send(life, queued);
                 }
             }
             message::LinkMessage::Withdraw { job } => {
@@ -561,7 +570,9 @@
             message::LinkMessage::End { job, end } => {
                 self.placer.borrow_mut().end(now, job, &end);
             }
-            _ => {}
+            _ => {
+                log::warn!(target: "sardinepaddle", life; "message dropped: not one of a follower")
+            }
         }
     }
 }
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -218,8 +218,10 @@
             .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
 
-    /// Looks for a place; the verdict comes with [`Self::take_verdicts`], at once or later.
+    /// Looks for a place; the verdict comes with [`Self::take_verdicts`], at once or later. An ask
+    /// that comes again, over another connection, takes the place of the first.
     pub fn ask(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) {
+        self.withdraw(now, job);
         let budget = self.budgets.entry(ask.service.clone()).or_insert_with(|| {
             let bounds = &self.bounds;
             budget::RetryBudget::new(
@@ -236,6 +238,14 @@
         } else {
             budget.request(now);
         }
+        let waiting = self.weigh(now, job, ask);
+        if !self.settle(now, &waiting) {
+            self.waiting.push(waiting);
+        }
+    }
+
+    /// Values a request against others.
+    fn weigh(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) -> WaitingAsk {
         let (value, cost_share) = match ask.shape {
             job::JobShape::Prompt { tokens, .. } => {
                 let answer = answer_tokens(&ask.shape);
@@ -244,19 +254,15 @@
             }
             job::JobShape::Call => (value::CALL_VALUE, 1.0),
         };
-        let best_ms = self.best_ms(&ask);
-        let waiting = WaitingAsk {
+        WaitingAsk {
             job,
             value,
             cost_share,
             asked_at: now,
             objective_at: now + ask.objective_ms,
             gone_at: now + ask.left_ms,
-            best_ms,
+            best_ms: self.best_ms(&ask),
             ask,
-        };
-        if !self.settle(now, &waiting) {
-            self.waiting.push(waiting);
         }
     }
 
@@ -284,19 +290,8 @@
         if self.jobs.contains_key(&running.job) {
             return;
         }
-        let ask = &running.ask;
-        let shares = self.shares(now, ask, &running.plan);
-        let value = value::CALL_VALUE;
-        let waiting = WaitingAsk {
-            job: running.job,
-            ask: ask.clone(),
-            value,
-            cost_share: 1.0,
-            asked_at: now,
-            objective_at: now + ask.objective_ms,
-            gone_at: now + ask.left_ms,
-            best_ms: 0.0,
-        };
+        let shares = self.shares(now, &running.ask, &running.plan);
+        let waiting = self.weigh(now, running.job, running.ask.clone());
         self.place(now, &waiting, shares, running.plan.predicted_ms);
         if running.started {
             self.first_event(now, running.job);
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -274,3 +274,26 @@
     let first = placer.take_verdicts().len();
     assert!((1..=64).contains(&first), "{first}");
 }
+
+// A daemon that connects again asks again under the same id while its first ask still waits, or has
+// been placed with a verdict that went down with the old connection.
+#[test]
+fn an_ask_that_comes_again_takes_the_place_of_the_first() {
+    let mut placer = pool(1, 0.0);
+    let ask = prompt("long", 200_000, 30_000.0);
+    placer.ask(NOW, number(1), ask.clone());
+    placer.ask(NOW, number(2), ask.clone());
+    assert_eq!((placer.running(), placer.waiting()), (1, 1));
+    placer.take_verdicts();
+    placer.ask(NOW, number(2), ask.clone());
+    assert_eq!((placer.running(), placer.waiting()), (1, 1));
+    placer.ask(NOW, number(1), ask.clone());
+    assert_eq!(placer.running(), 1);
+    assert!(placer.has_verdict(number(1)));
+    placer.withdraw(NOW, number(1));
+    placer.withdraw(NOW, number(2));
+    // All of its memory is free again.
+    placer.take_verdicts();
+    placer.ask(NOW, number(3), ask);
+    assert!(placer.has_verdict(number(3)));
+}
