--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -42,6 +42,11 @@
         self.child.id()
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills it without warning.
     pub fn kill(&mut self) {
         // A process that has ended already is fine.
