--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -17,3 +17,5 @@
 pub mod value;
 
 mod load;
+mod members;
+mod state;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -5,7 +5,6 @@
 //! requests there would lose by it. It takes the set with the greatest gain. What gains more
 //! later waits; what gains nothing any more is declined at once.
 
-use std::cmp;
 use std::collections;
 use std::sync;
 
@@ -17,6 +16,8 @@
 use crate::engine;
 use crate::job;
 use crate::load;
+use crate::members;
+use crate::state;
 use crate::trouble;
 use crate::value;
 
@@ -38,12 +39,6 @@
 const ACCEPTED_GAIN: f64 = 0.6;
 /// Share of the objective over which that share falls to nothing: engines clear within some passes.
 const CHOOSY_SHARE: f64 = 0.15;
-/// Share of an engine's memory that is given out; the rest covers answers longer than guessed.
-const MEMORY_SHARE: f64 = 0.95;
-/// Tokens set aside beyond the prompt's part, for rounding to blocks.
-const RESERVE_MARGIN: u64 = 64;
-/// Most endpoints that hold memory for one prompt.
-const MOST_HOLDERS: usize = 4;
 /// Share of the cold rate that is given out, as senders differ in when a send arrives.
 const COLD_SHARE: f64 = 0.7;
 /// Most waiting requests that are looked at in one tick: looking at all, over and over, would take
@@ -59,12 +54,6 @@
 const CALL_WEIGHT: f64 = 0.05;
 /// Requests per slot up to which a plain service's own queue is used.
 const CALL_CROWDING: f64 = 2.0;
-/// Price of sending to another data centre, units of worth; settles ties.
-const CROSS_CENTRE_PRICE: f64 = 0.004;
-/// Price of each request that an engine generates for already, units of worth; spreads them.
-const CROWD_PRICE: f64 = 0.01;
-/// Least time left to an objective that the price of waiting is reckoned over, ms.
-const LEAST_LEFT_MS: f64 = 100.0;
 /// Time after which a job that its daemon no longer speaks of is forgotten, ms beyond its deadline.
 const FORGET_MS: f64 = 5_000.0;
 
@@ -83,68 +72,10 @@
     pub cold_extra: f64,
 }
 
-#[derive(Clone, Debug)]
-struct EndpointState {
-    live: serving::LiveEndpoint,
-    listed: bool,
-    closed: bool,
-    /// When all reading that was placed here is done.
-    read_free_at: f64,
-    memory_used: u64,
-    jobs: Vec<job::JobId>,
-    trouble: trouble::TroubleScore,
-    sends: collections::VecDeque<f64>,
-}
-
-#[derive(Clone, Debug)]
-struct MemberShare {
-    endpoint: ids::EndpointId,
-    read_ms: f64,
-    /// Time that a token of its part takes, ms: longer prompts have more pairs a token.
-    token_ms: f64,
-    read_until: f64,
-    memory: u64,
-}
-
-#[derive(Clone, Debug)]
-struct PlacedJob {
-    service: ids::ServiceId,
-    shape: job::JobShape,
-    value: f64,
-    placed_at: f64,
-    objective_at: f64,
-    pause_ms: f64,
-    gone_at: f64,
-    first_event_at: f64,
-    started: bool,
-    /// Chance that it is late already, by its first event or by a pause.
-    lost: f64,
-    /// Chance that its caller gives up for a pause.
-    cut: f64,
-    /// Pause at which its caller gives up, ms.
-    patience_ms: f64,
-    context: u64,
-    members: Vec<MemberShare>,
-}
-
-#[derive(Clone, Debug)]
-struct WaitingAsk {
-    job: job::JobId,
-    ask: job::PlaceAsk,
-    value: f64,
-    /// Share of what it costs others that counts; see [`JobPlacer::cost_share`].
-    cost_share: f64,
-    asked_at: f64,
-    objective_at: f64,
-    gone_at: f64,
-    /// Time to the first event on idle endpoints, ms.
-    best_ms: f64,
-}
-
 #[derive(Clone, Debug)]
 struct PlanChoice {
     plan: job::PlacePlan,
-    shares: Vec<MemberShare>,
+    shares: Vec<state::MemberShare>,
     gain: f64,
 }
 
@@ -153,9 +84,9 @@
 pub struct JobPlacer {
     bounds: PlacerBounds,
     services: map::HashMap<ids::ServiceId, sync::Arc<serving::ServiceProfile>>,
-    endpoints: collections::BTreeMap<ids::EndpointId, EndpointState>,
-    jobs: map::HashMap<job::JobId, PlacedJob>,
-    waiting: Vec<WaitingAsk>,
+    endpoints: collections::BTreeMap<ids::EndpointId, state::EndpointState>,
+    jobs: map::HashMap<job::JobId, state::PlacedJob>,
+    waiting: Vec<state::WaitingAsk>,
     values: value::KindValues,
     budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
     call_ms: map::HashMap<ids::ServiceId, f64>,
@@ -205,10 +136,10 @@
         }
         for live in listed {
             let state = self.endpoints.entry(live.id.clone());
-            let state = state.or_insert_with(|| EndpointState::new(live.clone(), now));
+            let state = state.or_insert_with(|| state::EndpointState::new(live.clone(), now));
             if state.live.born_ms != live.born_ms {
                 // A new life under the same id holds nothing of before.
-                *state = EndpointState::new(live.clone(), now);
+                *state = state::EndpointState::new(live.clone(), now);
             }
             state.live = live.clone();
             state.listed = true;
@@ -245,7 +176,7 @@
     }
 
     /// Values a request against others.
-    fn weigh(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) -> WaitingAsk {
+    fn weigh(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) -> state::WaitingAsk {
         let (value, cost_share) = match ask.shape {
             job::JobShape::Prompt { tokens, .. } => {
                 let answer = answer_tokens(&ask.shape);
@@ -254,7 +185,7 @@
             }
             job::JobShape::Call => (value::CALL_VALUE, 1.0),
         };
-        WaitingAsk {
+        state::WaitingAsk {
             job,
             value,
             cost_share,
@@ -349,7 +280,7 @@
     pub fn tick(&mut self, now: f64) {
         let mut waiting = std::mem::take(&mut self.waiting);
         // What is worth most for the time that it takes goes first.
-        let density = |ask: &WaitingAsk| ask.value / (ask.cost_share * ask.best_ms).max(1.0);
+        let density = |ask: &state::WaitingAsk| ask.value / (ask.cost_share * ask.best_ms).max(1.0);
         waiting.sort_by(|a, b| density(b).total_cmp(&density(a)));
         for (place, ask) in waiting.into_iter().enumerate() {
             let left_for_later = place >= MOST_LOOKS && now + ask.best_ms < ask.gone_at;
@@ -391,7 +322,7 @@
     }
 
     /// Decides on a request now; `false` if it is to wait.
-    fn settle(&mut self, now: f64, waiting: &WaitingAsk) -> bool {
+    fn settle(&mut self, now: f64, waiting: &state::WaitingAsk) -> bool {
         let choice = match self.choose(now, waiting) {
             Ok(choice) => choice,
             Err(reason) => {
@@ -477,7 +408,7 @@
     fn open<'a>(
         &'a self,
         service: &'a ids::ServiceId,
-    ) -> impl Iterator<Item = (&'a ids::EndpointId, &'a EndpointState)> {
+    ) -> impl Iterator<Item = (&'a ids::EndpointId, &'a state::EndpointState)> {
         let endpoints = self.endpoints.iter();
         endpoints.filter(move |(_, state)| state.takes_work() && state.live.service == *service)
     }
@@ -485,17 +416,18 @@
     fn choose(
         &self,
         now: f64,
-        waiting: &WaitingAsk,
+        waiting: &state::WaitingAsk,
     ) -> Result<Option<PlanChoice>, job::DeclineReason> {
         let ask = &waiting.ask;
         let profile = self.services.get(&ask.service);
         let engine = profile.and_then(|profile| profile.engine.as_ref());
         let cold_limit = profile.map_or(f64::MAX, |profile| self.send_limit(profile));
-        let open: Vec<&EndpointState> = self.open(&ask.service).map(|(_, state)| state).collect();
+        let open: Vec<&state::EndpointState> =
+            self.open(&ask.service).map(|(_, state)| state).collect();
         if open.is_empty() {
             return Err(job::DeclineReason::NoEndpoint);
         }
-        let usable: Vec<&EndpointState> = open
+        let usable: Vec<&state::EndpointState> = open
             .iter()
             .copied()
             .filter(|state| !ask.avoid.contains(&state.live.id))
@@ -504,8 +436,8 @@
             .collect();
         match (ask.shape, engine) {
             (job::JobShape::Prompt { tokens, .. }, Some(engine)) => {
-                let memory = (engine.memory_tokens as f64 * MEMORY_SHARE) as u64;
-                let holders = open.len().min(MOST_HOLDERS + 1) as u64;
+                let memory = state::given_memory(engine);
+                let holders = open.len().min(members::MOST_HOLDERS + 1) as u64;
                 if tokens + answer_tokens(&ask.shape) > memory * holders {
                     return Err(job::DeclineReason::TooLarge);
                 }
@@ -527,18 +459,23 @@
     fn choose_call(
         &self,
         now: f64,
-        waiting: &WaitingAsk,
-        usable: &[&EndpointState],
+        waiting: &state::WaitingAsk,
+        usable: &[&state::EndpointState],
     ) -> Option<PlanChoice> {
         let mean = self.mean_call_ms(&waiting.ask.service);
-        let crowding =
-            |state: &EndpointState| (state.jobs.len() as f64 + 1.0) / f64::from(state.live.slots);
-        let cost = |state: &EndpointState| {
+        let crowding = |state: &state::EndpointState| {
+            (state.jobs.len() as f64 + 1.0) / f64::from(state.live.slots)
+        };
+        let cost = |state: &state::EndpointState| {
             let away = state.live.centre != waiting.ask.centre;
             let wait = (crowding(state) - 1.0).max(0.0) * mean;
             let objective = waiting.ask.full_objective_ms.max(1.0);
             let lost = state.trouble.share(now) + wait / objective + 0.02 * crowding(state);
-            lost + if away { CROSS_CENTRE_PRICE } else { 0.0 }
+            lost + if away {
+                members::CROSS_CENTRE_PRICE
+            } else {
+                0.0
+            }
         };
         let slack = waiting.objective_at - now - mean - NETWORK_MS;
         let most = if slack > 0.0 { 1.0 } else { CALL_CROWDING };
@@ -550,7 +487,7 @@
             predicted_ms: (crowding(state) - 1.0).max(0.0) * mean + mean + NETWORK_MS,
             priority: waiting.ask.priority.min(9),
         };
-        let shares = vec![MemberShare {
+        let shares = vec![state::MemberShare {
             endpoint: state.live.id.clone(),
             read_ms: 0.0,
             token_ms: 0.0,
@@ -567,18 +504,18 @@
     fn choose_engines(
         &self,
         now: f64,
-        waiting: &WaitingAsk,
+        waiting: &state::WaitingAsk,
         profile: &serving::EngineProfile,
-        usable: &[&EndpointState],
+        usable: &[&state::EndpointState],
     ) -> Option<PlanChoice> {
         let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
             return None;
         };
         let price = self.price(now, &waiting.ask.service);
         let most = most_members(tokens).min(usable.len());
-        let views: Vec<EngineView<'_>> = usable
+        let views: Vec<members::EngineView<'_>> = usable
             .iter()
-            .map(|state| EngineView {
+            .map(|state| members::EngineView {
                 state,
                 load: self.engine_load(now, state, profile),
             })
@@ -604,7 +541,7 @@
     fn engine_load(
         &self,
         now: f64,
-        state: &EndpointState,
+        state: &state::EndpointState,
         profile: &serving::EngineProfile,
     ) -> load::EngineLoad {
         let mut load = load::EngineLoad {
@@ -651,25 +588,25 @@
     fn choose_spread(
         &self,
         now: f64,
-        waiting: &WaitingAsk,
+        waiting: &state::WaitingAsk,
         profile: &serving::EngineProfile,
-        views: &[EngineView<'_>],
+        views: &[members::EngineView<'_>],
         price: f64,
         spread: usize,
     ) -> Option<PlanChoice> {
         let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
             return None;
         };
-        let need = tokens + answer_tokens(&waiting.ask.shape) + RESERVE_MARGIN;
+        let need = tokens + answer_tokens(&waiting.ask.shape) + members::RESERVE_MARGIN;
         let read_ms = engine::read_ms(profile, tokens, spread);
         let addition = load::ReadAddition {
             read_ms,
             token_ms: read_ms * spread as f64 / tokens.max(1) as f64,
             ahead: spread > 1,
         };
-        let ranked = rank_members(now, waiting, profile, views, &addition);
-        let members = take_members(ranked, spread, need, profile)?;
-        let split = split_memory(&members, need, profile)?;
+        let ranked = members::rank_members(now, waiting, profile, views, &addition);
+        let members = members::take_members(ranked, spread, need, profile)?;
+        let split = members::split_memory(&members, need, profile)?;
 
         let start = members.iter().map(|view| view.load.start_ms());
         let start = start.fold(0.0, f64::max);
@@ -687,7 +624,7 @@
             - waiting.cost_share.sqrt() * harm
             - waiting.cost_share * price * read_ms * spread as f64;
 
-        let share = |view: &EngineView<'_>, memory: u64| MemberShare {
+        let share = |view: &members::EngineView<'_>, memory: u64| state::MemberShare {
             endpoint: view.state.live.id.clone(),
             read_ms,
             token_ms: addition.token_ms,
@@ -709,14 +646,19 @@
     }
 
     /// Shares of a plan that another placer made.
-    fn shares(&self, now: f64, ask: &job::PlaceAsk, plan: &job::PlacePlan) -> Vec<MemberShare> {
+    fn shares(
+        &self,
+        now: f64,
+        ask: &job::PlaceAsk,
+        plan: &job::PlacePlan,
+    ) -> Vec<state::MemberShare> {
         let engine = self.services.get(&ask.service);
         let engine = engine.and_then(|profile| profile.engine.as_ref());
         let members = 1 + plan.helpers.len();
         let (read_ms, need) = match (ask.shape, engine) {
             (job::JobShape::Prompt { tokens, .. }, Some(profile)) => (
                 engine::read_ms(profile, tokens, members),
-                tokens + answer_tokens(&ask.shape) + RESERVE_MARGIN,
+                tokens + answer_tokens(&ask.shape) + members::RESERVE_MARGIN,
             ),
             _ => (0.0, 0),
         };
@@ -729,7 +671,7 @@
         let helpers = plan.helpers.iter();
         first
             .chain(helpers.map(|helper| (helper, helper.reserve_tokens)))
-            .map(|(member, memory)| MemberShare {
+            .map(|(member, memory)| state::MemberShare {
                 endpoint: member.endpoint.clone(),
                 read_ms,
                 token_ms: read_ms * members as f64 / (need.max(1) as f64),
@@ -740,7 +682,12 @@
     }
 
     /// Notes which requests a new read on their engine makes late.
-    fn note_pauses(&mut self, now: f64, waiting: &WaitingAsk, shares: &[MemberShare]) {
+    fn note_pauses(
+        &mut self,
+        now: f64,
+        waiting: &state::WaitingAsk,
+        shares: &[state::MemberShare],
+    ) {
         let profile = self.services.get(&waiting.ask.service).cloned();
         let Some(engine) = profile.as_ref().and_then(|profile| profile.engine.as_ref()) else {
             return;
@@ -768,7 +715,13 @@
         }
     }
 
-    fn place(&mut self, now: f64, waiting: &WaitingAsk, shares: Vec<MemberShare>, predicted: f64) {
+    fn place(
+        &mut self,
+        now: f64,
+        waiting: &state::WaitingAsk,
+        shares: Vec<state::MemberShare>,
+        predicted: f64,
+    ) {
         self.note_pauses(now, waiting, &shares);
         for share in &shares {
             let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
@@ -783,7 +736,7 @@
             }
         }
         let context = shares.first().map_or(0, |share| share.memory);
-        let job = PlacedJob {
+        let job = state::PlacedJob {
             service: waiting.ask.service.clone(),
             shape: waiting.ask.shape,
             value: waiting.value,
@@ -803,175 +756,6 @@
     }
 }
 
-impl EndpointState {
-    fn new(live: serving::LiveEndpoint, now: f64) -> Self {
-        Self {
-            live,
-            listed: true,
-            closed: false,
-            read_free_at: now,
-            memory_used: 0,
-            jobs: Vec::new(),
-            trouble: trouble::TroubleScore::default(),
-            sends: collections::VecDeque::new(),
-        }
-    }
-
-    fn takes_work(&self) -> bool {
-        self.listed && !self.closed && !self.live.leaving
-    }
-
-    fn sends_since(&self, since: f64) -> f64 {
-        let recent = self.sends.iter().rev().take_while(|at| **at > since);
-        recent.count() as f64
-    }
-
-    fn memory_free(&self, profile: &serving::EngineProfile) -> u64 {
-        let given = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
-        given.saturating_sub(self.memory_used)
-    }
-
-    fn member(&self, reserve_tokens: u64) -> job::PlanMember {
-        job::PlanMember {
-            endpoint: self.live.id.clone(),
-            address: self.live.address,
-            reserve_tokens,
-        }
-    }
-}
-
-/// An engine with what it does.
-struct EngineView<'a> {
-    state: &'a EndpointState,
-    load: load::EngineLoad,
-}
-
-impl EngineView<'_> {
-    fn room(&self, profile: &serving::EngineProfile) -> u64 {
-        self.state.memory_free(profile)
-    }
-}
-
-/// Engines with room for one more request, those that lose least by it first.
-fn rank_members<'v, 'a>(
-    now: f64,
-    waiting: &WaitingAsk,
-    profile: &serving::EngineProfile,
-    views: &'v [EngineView<'a>],
-    addition: &load::ReadAddition,
-) -> Vec<&'v EngineView<'a>> {
-    let left = (waiting.objective_at - now).max(LEAST_LEFT_MS);
-    let wait_price = waiting.value / left;
-    let cost = |view: &EngineView<'_>| {
-        let away = view.state.live.centre != waiting.ask.centre;
-        view.load.harm(profile, addition)
-            + view.state.trouble.share(now) * waiting.value
-            + if away { CROSS_CENTRE_PRICE } else { 0.0 }
-            + view.load.start_ms() * wait_price
-            + CROWD_PRICE * view.load.first_here as f64
-    };
-    let open = views
-        .iter()
-        .filter(|view| view.state.jobs.len() < view.state.live.slots as usize);
-    let mut ranked: Vec<(f64, &EngineView<'_>)> = open.map(|view| (cost(view), view)).collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    ranked.into_iter().map(|(_, view)| view).collect()
-}
-
-/// The first `spread` of some engines; if none of these has room for a prompt, those with most
-/// room go before, as many as it needs.
-fn take_members<'v, 'a>(
-    mut ranked: Vec<&'v EngineView<'a>>,
-    spread: usize,
-    need: u64,
-    profile: &serving::EngineProfile,
-) -> Option<Vec<&'v EngineView<'a>>> {
-    if ranked.len() < spread {
-        return None;
-    }
-    if ranked[..spread]
-        .iter()
-        .all(|view| view.room(profile) < need)
-    {
-        let mut by_room = ranked.clone();
-        by_room.sort_by_key(|view| cmp::Reverse(view.room(profile)));
-        let mut missing = need;
-        by_room.retain(|view| {
-            let taken = missing > 0;
-            missing = missing.saturating_sub(view.room(profile));
-            taken
-        });
-        let taken = |view: &&EngineView<'_>| {
-            let mut others = by_room.iter();
-            others.any(|other| other.state.live.id == view.state.live.id)
-        };
-        ranked.sort_by_key(|view| !taken(view));
-    }
-    ranked.truncate(spread);
-    Some(ranked)
-}
-
-/// Where the memory of a prompt lies.
-struct MemorySplit<'v, 'a> {
-    /// The engine that gets the request, and generates.
-    first: &'v EngineView<'a>,
-    /// Tokens of memory that it holds.
-    first_tokens: u64,
-    /// The others, with the tokens that are reserved there.
-    helpers: Vec<(&'v EngineView<'a>, u64)>,
-}
-
-/// Splits the memory of a prompt over its engines: all of it on the one with the shortest pass of
-/// those with room, or else what the one with most room can't take on others.
-fn split_memory<'v, 'a>(
-    members: &[&'v EngineView<'a>],
-    need: u64,
-    profile: &serving::EngineProfile,
-) -> Option<MemorySplit<'v, 'a>> {
-    let fitting = members.iter().filter(|view| view.room(profile) >= need);
-    let first = fitting
-        .min_by(|a, b| a.load.pass_ms.total_cmp(&b.load.pass_ms))
-        .or_else(|| members.iter().max_by_key(|view| view.room(profile)))?;
-    let mut missing = need.saturating_sub(first.room(profile));
-    let first_tokens = need - missing;
-    let mut others: Vec<&EngineView<'_>> = members.to_vec();
-    others.retain(|view| view.state.live.id != first.state.live.id);
-    others.sort_by_key(|view| cmp::Reverse(view.room(profile)));
-    let mut helpers = Vec::with_capacity(others.len());
-    for view in others {
-        let room = view.room(profile).saturating_sub(RESERVE_MARGIN);
-        let reserved = missing.min(room);
-        missing -= reserved;
-        helpers.push((view, reserved));
-    }
-    let holders = helpers.iter().filter(|(_, reserved)| *reserved > 0).count();
-    let fits = missing == 0 && holders <= MOST_HOLDERS;
-    fits.then_some(MemorySplit {
-        first,
-        first_tokens,
-        helpers,
-    })
-}
-
-impl PlacedJob {
-    /// Reading placed on its engine, done at `read_free_at`, that falls into its generation, ms.
-    fn pending_ms(&self, now: f64, read_free_at: f64) -> f64 {
-        let read = self.members.first().map_or(now, |share| share.read_until);
-        let from = if self.started { now } else { read.max(now) };
-        (read_free_at - from).max(0.0)
-    }
-
-    /// Worth that it loses if it gets late.
-    fn at_stake(&self) -> f64 {
-        self.value * (1.0 - value::LATE_SHARE) * (1.0 - self.lost)
-    }
-
-    /// Worth that is left if it is late, and lost if its caller gives up.
-    fn rest_at_stake(&self) -> f64 {
-        self.value * value::LATE_SHARE * (1.0 - self.cut)
-    }
-}
-
 fn most_members(tokens: u64) -> usize {
     let most = usize::try_from(tokens / LEAST_PART_TOKENS).unwrap_or(1);
     most.max(1)
