Make one copy of what the gateway and the soak wrote again

No behaviour is meant to change; loads of crates/pool/tests/loads.rs give the same figures. - Crate process: binds ports and renders metrics for both edges of the daemon (each had its own). - model::millis: spans from milliseconds and back (platform and gateway), and the wall clock in milliseconds (daemon, fakes, cli and soak had one each). - gateway::sockets: one way to accept (three loops; the one of checks and scrapes swallowed errors, now logged; daemons are accepted again after 50 ms instead of 250 ms when accepting failed) and one to dial (two). - behind_platform.rs starts daemons by the fakes' process and addresses instead of its own, which needed several tries to find free ports; its assertions are as they were. - The soak checks readiness by the fakes' caller; its routes are named once. - JobEnd from a sign (four places); removals that were held are dropped at one place of the feed. - Stale words: not ready means that too little of the store is known, not only the configuration.

--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -2,9 +2,9 @@
 
 use std::collections;
 use std::fmt;
-use std::time;
 
 use model::config;
+use model::millis;
 use model::peer;
 use model::store;
 use objects::daemons;
@@ -31,7 +31,7 @@
     let note = writer::ChangeNote {
         who: access.who()?,
         what: what.to_owned(),
-        at_ms: now_ms(),
+        at_ms: millis::since_epoch(),
         write_id: format!("{:032x}", rand::rng().random::<u128>()),
     };
     let write_id = note.write_id.clone();
@@ -74,14 +74,6 @@
     error::CliError::LostRace { winners }
 }
 
-/// Milliseconds since 1970.
-pub(crate) fn now_ms() -> u64 {
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    since.map_or(0, |span| {
-        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Hands the accepted configuration to the daemons, so that it spreads even if the object API
 /// fails now. A daemon that does not take it learns of it by its watch or its peers.
 async fn push(access: &connect::PlatformAccess, current: &writer::CurrentConfig) -> String {
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -1,10 +1,10 @@
 //! `sardinepaddle status`
 
 use model::ids;
+use model::millis;
 use objects::daemons;
 use serde::Serialize;
 
-use crate::change;
 use crate::connect;
 use crate::error;
 use crate::output;
@@ -83,7 +83,7 @@
             .object
             .audit
             .last()
-            .map(|entry| change::now_ms().saturating_sub(entry.at_ms)),
+            .map(|entry| millis::since_epoch().saturating_sub(entry.at_ms)),
     });
     let listing = access.client.hosts().await.ok();
     let daemons = match listing {
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -26,11 +26,3 @@
         self.origin + Duration::from_millis(at.as_millis())
     }
 }
-
-/// Milliseconds since 1970.
-pub(crate) fn wall_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |span| {
-        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -9,12 +9,12 @@
 use http_body_util::BodyExt;
 use model::config;
 use model::ids;
+use model::millis;
 use model::request;
 use settings::daemon;
 use tokio::sync::mpsc;
 
 use crate::caller;
-use crate::clock;
 use crate::front;
 use crate::reply;
 use crate::shared;
@@ -325,7 +325,7 @@
     } else if let Some(text) = header(head, DEADLINE_HEADER)? {
         let deadline = parse_millis(DEADLINE_HEADER, text)?;
         let left = deadline
-            .checked_sub(clock::wall_ms())
+            .checked_sub(millis::since_epoch())
             .filter(|left| *left > 0);
         left.ok_or_else(|| {
             reply::FrontRefusal::bad_request("bad_deadline", "the deadline is past")
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,9 +5,7 @@
 
 use model::request;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics;
-use prometheus::Encoder;
+use process::scrape;
 
 use crate::shared;
 use crate::traffic;
@@ -17,14 +15,6 @@
     0.05, 0.1, 0.2, 0.4, 0.77, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0, 300.0,
 ];
 
-/// Why metrics could not be set up.
-#[derive(Debug, thiserror::Error)]
-#[error("cannot set metrics up: {0}")]
-pub(crate) struct MetricsError(String);
-
-/// Result of this module.
-pub(crate) type Result<T> = std::result::Result<T, MetricsError>;
-
 /// What is measured at the port for callers.
 #[derive(Clone, Debug)]
 pub(crate) struct TimingMetrics {
@@ -63,9 +53,8 @@
 
 /// All metrics of one daemon.
 pub(crate) struct NodeMetrics {
-    registry: prometheus::Registry,
+    registry: scrape::ScrapeRegistry,
     pub timings: TimingMetrics,
-    _provider: metrics::SdkMeterProvider,
 }
 
 impl NodeMetrics {
@@ -73,36 +62,20 @@
     pub fn new(
         shared: &sync::Arc<shared::SharedState>,
         control: &sync::Arc<traffic::ControlTraffic>,
-    ) -> Result<Self> {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build();
-        let exporter = exporter.map_err(|error| MetricsError(error.to_string()))?;
-        let provider = metrics::SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .build();
-        let meter = provider.meter("sardinepaddle");
+    ) -> scrape::Result<Self> {
+        let registry = scrape::ScrapeRegistry::new()?;
+        let meter = registry.meter();
         observe_stats(&meter, shared);
         observe_endpoints(&meter, shared);
         observe_control(&meter, control);
         observe_refused(&meter, control);
         let timings = TimingMetrics::new(&meter);
-        Ok(Self {
-            registry,
-            timings,
-            _provider: provider,
-        })
+        Ok(Self { registry, timings })
     }
 
     /// The metrics as Prometheus text.
-    pub fn render(&self) -> Result<String> {
-        let mut buffer = Vec::new();
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode(&self.registry.gather(), &mut buffer)
-            .map_err(|error| MetricsError(error.to_string()))?;
-        String::from_utf8(buffer).map_err(|error| MetricsError(error.to_string()))
+    pub fn render(&self) -> scrape::Result<String> {
+        self.registry.render()
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,10 +4,13 @@
 use std::sync;
 use std::sync::atomic;
 
+use model::millis;
 use node::event;
 use node::machine;
 use node::settings as node_settings;
 use objects::client;
+use process::listen;
+use process::scrape;
 use settings::daemon;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -43,20 +46,14 @@
     #[error("cannot start the runtime")]
     Runtime(#[source] std::io::Error),
     /// An address could not be bound.
-    #[error("cannot listen on {address}")]
-    Listen {
-        /// The address.
-        address: net::SocketAddr,
-        /// The cause.
-        #[source]
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] listen::ListenError),
     /// The port for peers could not be opened.
     #[error("cannot open the port for peers")]
     Peers(#[from] peer::server::ServerError),
     /// Metrics could not be set up.
-    #[error("cannot set metrics up: {0}")]
-    Metrics(String),
+    #[error("cannot set metrics up")]
+    Metrics(#[from] scrape::ScrapeError),
     /// Signals could not be caught.
     #[error("cannot catch signals")]
     Signal(#[source] std::io::Error),
@@ -143,12 +140,11 @@
         loads: traffic::LoadTraffic::default(),
         refused: traffic::RefusedConnections::default(),
     });
-    let metrics = metrics::NodeMetrics::new(&shared, &control);
-    let metrics = metrics.map_err(|error| RunError::Metrics(error.to_string()))?;
+    let metrics = metrics::NodeMetrics::new(&shared, &control)?;
     let (inputs, received) = mpsc::channel(INPUT_QUEUE);
     let (exit, exited) = oneshot::channel();
-    let callers = bind(settings.listen.callers).await?;
-    let operators = bind(settings.listen.admin).await?;
+    let callers = listen::bind(settings.listen.callers).await?;
+    let operators = listen::bind(settings.listen.admin).await?;
     let peer_inbox = pass_peers(inputs.clone());
     let peers = peer::server::serve(peer_port(&settings, peer_inbox.clone(), &traffic)).await?;
 
@@ -203,7 +199,7 @@
     exit: oneshot::Sender<()>,
 ) -> driver::DriverParts {
     let clock = clock::NodeClock::start();
-    let wall_ms = clock::wall_ms();
+    let wall_ms = millis::since_epoch();
     let incarnation = machine::new_incarnation(&settings.host, wall_ms);
     shared
         .ids
@@ -251,11 +247,6 @@
     }
 }
 
-async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener> {
-    let listener = tokio::net::TcpListener::bind(address).await;
-    listener.map_err(|source| RunError::Listen { address, source })
-}
-
 fn pass_peers(
     inputs: mpsc::Sender<driver::DriverInput>,
 ) -> mpsc::Sender<peer::server::PeerDelivery> {
--- a/crates/daemon/tests/behind_platform.rs
+++ b/crates/daemon/tests/behind_platform.rs
@@ -3,16 +3,15 @@
 use std::io::Read;
 use std::io::Write;
 use std::net;
-use std::process;
-use std::sync::atomic;
 use std::time::Duration;
 use std::time::Instant;
 
-use fakes::endpoint::EndpointScript;
-use fakes::endpoint::StandInEndpoint;
-use fakes::store::StandInStore;
-use fakes::store::StoreMode;
-use platform_fakes as fakes;
+use fakes::fleet;
+use fakes::process;
+use platform_fakes::endpoint::EndpointScript;
+use platform_fakes::endpoint::StandInEndpoint;
+use platform_fakes::store::StandInStore;
+use platform_fakes::store::StoreMode;
 use serde_json::Value;
 use serde_json::json;
 
@@ -44,24 +43,8 @@
     ]
 }
 
-/// Ports below those that the system gives to outgoing connections, which would take a port
-/// between its choice and the start of the daemon.
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 10_000;
-static NEXT_PORT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
-
-/// Tries to find free ports: any other process may take one between its choice and its use.
-const PORT_TRIES: usize = 5;
-
-fn next_port() -> net::SocketAddr {
-    let offset = u16::try_from(process::id() % u32::from(PORTS)).unwrap();
-    let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-    let port = FIRST_PORT + offset.wrapping_add(step) % PORTS;
-    net::SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 struct RunningDaemon {
-    child: process::Child,
+    process: process::TestProcess,
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
     metrics: net::SocketAddr,
@@ -73,52 +56,32 @@
         if std::thread::panicking() {
             eprintln!("log of the daemon:\n{}", self.log());
         }
-        // One that has ended needs no killing.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
     }
 }
 
 impl RunningDaemon {
     fn start(store: &StandInStore) -> Self {
-        for _ in 0..PORT_TRIES {
-            let mut daemon = Self::spawn(store);
-            let mut ended = false;
-            Self::wait_for("its port or its end", || {
-                ended = daemon.child.try_wait().unwrap().is_some();
-                ended || net::TcpStream::connect(daemon.callers).is_ok()
-            });
-            if !ended {
-                return daemon;
-            }
-        }
-        panic!("the daemon ended at each start");
-    }
-
-    fn spawn(store: &StandInStore) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
-        let [callers, readiness, peers, metrics] = [(); 4].map(|()| next_port());
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
         let text = format!(
             "host: h1\ndata_centre: a\nlisten: {{ callers: '{callers}', readiness: '{readiness}', \
              peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n",
             store.address()
         );
         std::fs::write(&path, text).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_sardinepaddled"))
-            .arg("--behind-platform")
-            .arg("--settings")
-            .arg(&path)
-            .stdout(std::fs::File::create(files.path().join(LOG_FILE)).unwrap())
-            .spawn()
-            .unwrap();
-        Self {
-            child,
+        let settings = path.display().to_string();
+        let args = ["--behind-platform", "--settings", &settings];
+        let log = files.path().join(LOG_FILE);
+        let daemon = Self {
+            process: process::TestProcess::start("sardinepaddled", args, &log).unwrap(),
             callers,
             readiness,
             metrics,
             files,
-        }
+        };
+        Self::wait_for("its port", || net::TcpStream::connect(callers).is_ok());
+        daemon
     }
 
     /// Waits until a check holds.
@@ -145,12 +108,6 @@
         let id = format!("X-Attempt-Id: {id}");
         exchange(self.callers, line, &[&key, &id, "X-Deadline-Ms: 8000"])
     }
-
-    fn terminate(&self) {
-        let id = i32::try_from(self.child.id()).unwrap();
-        let signal = nix::sys::signal::Signal::SIGTERM;
-        nix::sys::signal::kill(nix::unistd::Pid::from_raw(id), signal).unwrap();
-    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -453,7 +410,7 @@
     store.set_mode(StoreMode::Up);
     RunningDaemon::wait_for("the lapse", || daemon.log().contains("entry lapsed"));
     assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "lapsed").status, 200);
-    daemon.terminate();
+    daemon.process.terminate();
     RunningDaemon::wait_for("its end", || {
         daemon.call("GET /safe/ HTTP/1.1", "gone").status == 503
     });
@@ -497,14 +454,14 @@
         exchange(callers, "POST /stream/ HTTP/1.1", &headers)
     });
     RunningDaemon::wait_for("its arrival", || arrivals(&endpoints) == 1);
-    daemon.terminate();
+    daemon.process.terminate();
     RunningDaemon::wait_for("not ready", || {
         exchange(daemon.readiness, "GET /-/readyz HTTP/1.1", &[]).status == 503
     });
     let answer = open.join().unwrap();
     assert!(answer.whole, "{answer:?}");
     assert_eq!(answer.body, whole_events(3));
-    assert!(daemon.child.wait().unwrap().success());
+    assert!(daemon.process.wait(PATIENCE).await.unwrap().success());
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -281,6 +281,18 @@
     sender.send_request(request).await.ok()
 }
 
+/// Whether a port answers a plain `GET` with 200.
+pub async fn is_ok(address: net::SocketAddr, path: &str) -> bool {
+    let request = http::Request::get(path)
+        .header(http::header::HOST, address.to_string())
+        .body(http_body_util::Full::new(bytes::Bytes::new()));
+    let Ok(request) = request else {
+        return false;
+    };
+    let response = exchange(address, request).await;
+    response.is_some_and(|response| response.status() == http::StatusCode::OK)
+}
+
 /// Reads JSON from a stand-in or a daemon's port for operators.
 pub async fn get_json<T: serde::de::DeserializeOwned>(
     address: net::SocketAddr,
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,6 +12,7 @@
 use engine::wire;
 use model::ids;
 use model::load;
+use model::millis;
 use model::request;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -280,7 +281,7 @@
             return http::StatusCode::TOO_MANY_REQUESTS;
         }
         self.witness.admitted += 1;
-        self.witness.last_admitted_ms = wall_ms();
+        self.witness.last_admitted_ms = millis::since_epoch();
         let part = request.part.map(|part| HeldPart {
             part,
             digest: part_digest(&request.prompt, &part),
@@ -612,11 +613,3 @@
         state.history.pop_front();
     }
 }
-
-/// Milliseconds since 1970.
-pub(crate) fn wall_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |span| {
-        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -343,7 +343,7 @@
     pub async fn wait_ready(&self, index: usize) -> io::Result<()> {
         let admin = self.daemons[index].settings.listen.admin;
         let tries = async {
-            while !is_ready(admin).await {
+            while !caller::is_ok(admin, "/readyz").await {
                 time::sleep(TRY_PERIOD).await;
             }
         };
@@ -453,17 +453,6 @@
     )
 }
 
-async fn is_ready(admin: net::SocketAddr) -> bool {
-    let request = http::Request::get("/readyz")
-        .header(http::header::HOST, admin.to_string())
-        .body(http_body_util::Full::new(bytes::Bytes::new()));
-    let Ok(request) = request else {
-        return false;
-    };
-    let response = caller::exchange(admin, request).await;
-    response.is_some_and(|response| response.status() == http::StatusCode::OK)
-}
-
 fn log(folder: &tempfile::TempDir, name: &str) -> path::PathBuf {
     folder.path().join(format!("{name}.log"))
 }
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use axum::routing;
+use model::millis;
 use serde::{Deserialize, Serialize};
 
-use crate::engine;
 use crate::serve;
 
 /// Header that names the operation of a call.
@@ -120,7 +120,7 @@
     {
         panic!("the journal cannot be written: {error}");
     }
-    state.witness.last_call_ms = engine::wall_ms();
+    state.witness.last_call_ms = millis::since_epoch();
     let runs = state.witness.runs.entry(operation.to_owned()).or_default();
     *runs += 1;
     *runs
--- a/crates/fakes/src/scenario/step.rs
+++ b/crates/fakes/src/scenario/step.rs
@@ -5,10 +5,10 @@
 
 use model::config;
 use model::ids;
+use model::millis;
 use tokio::time;
 
 use crate::caller;
-use crate::engine;
 use crate::process;
 use crate::proxy;
 use crate::scenario::names;
@@ -56,7 +56,7 @@
             Ok(())
         }
         spec::ScenarioStep::Mark(name) => {
-            run.marks.insert(name.clone(), engine::wall_ms());
+            run.marks.insert(name.clone(), millis::since_epoch());
             Ok(())
         }
         spec::ScenarioStep::Await(step) => {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -10,13 +10,16 @@
 
 use crate::relay;
 
+/// Advice on when to come back to a daemon that has just started, ms: it knows the store by then.
+const NOT_READY_RETRY_MS: u64 = 500;
+
 /// Body of an answer to a caller.
 pub(crate) type AnswerBody = pin::Pin<Box<dyn Body<Data = Bytes, Error = relay::RelayError>>>;
 
 /// Why the daemon answers by itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OwnAnswer {
-    /// No configuration is known yet.
+    /// Too little of the store is known yet.
     NotReady,
     /// No route fits.
     NoRoute,
@@ -70,7 +73,7 @@
 
     fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::NotReady => Some(500),
+            Self::NotReady => Some(NOT_READY_RETRY_MS),
             Self::NotRun { retry_after_ms, .. } => Some(retry_after_ms),
             _ => None,
         }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use model::millis;
+
 /// Reads time since the start.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SteadyClock {
@@ -18,6 +20,6 @@
 
     /// Milliseconds since the start.
     pub fn now(&self) -> f64 {
-        self.origin.elapsed().as_secs_f64() * 1_000.0
+        millis::count(self.origin.elapsed())
     }
 }
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use model::map;
+use model::millis;
 use platform::catalog;
 use platform::store;
 use pool::replica;
@@ -37,6 +38,9 @@
 /// Time after the store's return for which removals of endpoints are held back, ms: entries that
 /// lapsed meanwhile are back within two seconds if the endpoint lives.
 const LAPSE_HOLD_MS: f64 = 2_200.0;
+/// Shortest and longest time that a watch waits while removals are held, ms: they are dropped
+/// between two calls, and not by a call for each that is due.
+const HELD_WAIT_MS: (f64, f64) = (20.0, 60_000.0);
 
 /// One kind as it is followed.
 struct ObjectFeed {
@@ -107,8 +111,8 @@
         let (first, longest) = RETRY_PAUSES;
         let mut pause = first;
         loop {
+            self.drop_held();
             if !self.follows() {
-                self.drop_held();
                 time::sleep(IDLE_PAUSE).await;
                 continue;
             }
@@ -159,7 +163,6 @@
 
     /// Makes one call; says whether it brought news.
     async fn step(&mut self) -> store::Result<bool> {
-        self.drop_held();
         match self.revision {
             None => self.list().await,
             Some(revision) => self.watch(revision).await,
@@ -214,7 +217,7 @@
             }
             batch => batch?,
         };
-        let late = self.world.now() - asked_at - wait.as_secs_f64() * 1_000.0;
+        let late = self.world.now() - asked_at - millis::count(wait);
         self.away = self.away || late > LATE_ANSWER_MS;
         self.note_answer();
         self.log_skipped(&batch.skipped);
@@ -237,8 +240,9 @@
         let now = self.world.now();
         let due = self.held.values().map(|removal| removal.until);
         let due = due.fold(f64::INFINITY, f64::min);
-        let until_due = Duration::from_secs_f64(((due - now) / 1_000.0).clamp(0.02, 60.0));
-        let wait = Duration::from_secs_f64(WAIT_SHARE * self.bound_ms() / 1_000.0);
+        let (shortest, longest) = HELD_WAIT_MS;
+        let until_due = millis::span((due - now).clamp(shortest, longest));
+        let wait = millis::span(WAIT_SHARE * self.bound_ms());
         wait.min(until_due)
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::convert;
 use std::rc;
-use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -10,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use model::millis;
 use platform::headers;
 use pool::routes;
 use tokio::sync::watch;
@@ -18,11 +18,10 @@
 use crate::answer;
 use crate::relay;
 use crate::request;
+use crate::sockets;
 use crate::upstream;
 use crate::world;
 
-/// Pause after a connection could not be accepted, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Objectives within which a request's first event or whole answer is expected by all means.
 const EXPECTED_OBJECTIVES: f64 = 2.0;
 /// Time of a token of an answer, ms: the engines' step with other requests beside it, and half more.
@@ -44,17 +43,10 @@
 /// Takes connections until the process ends.
 pub(crate) async fn accept(port: CallerPort, listener: tokio::net::TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // Without it events wait for each other's acknowledgement.
-                let _ = stream.set_nodelay(true);
-                tokio::task::spawn_local(serve(port.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!(target: "sardinepaddle", error:% = error; "cannot accept a caller");
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = sockets::accept(&listener, "a caller").await;
+        // Without it events wait for each other's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        tokio::task::spawn_local(serve(port.clone(), stream));
     }
 }
 
@@ -101,7 +93,7 @@
 
 /// Time that a request is likely to take, ms, on the long side.
 fn expected_ms(found: &routes::RouteMatch, hints: &headers::CallerHints) -> f64 {
-    let first = EXPECTED_OBJECTIVES * request::millis(found.route.objective);
+    let first = EXPECTED_OBJECTIVES * millis::count(found.route.objective);
     let answer = hints.tokens.map_or(0, |(_, answer)| answer);
     first + answer as f64 * EXPECTED_TOKEN_MS
 }
@@ -169,7 +161,7 @@
         headers: parts.headers.clone(),
         body,
         arrived,
-        deadline: arrived + request::millis(patience),
+        deadline: arrived + millis::count(patience),
         hints,
         world,
     })
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -20,6 +20,7 @@
 use crate::message::LinkMessage;
 use crate::message::PlacerState;
 use crate::packing;
+use crate::sockets;
 use crate::world;
 
 /// Time that a connection to another daemon may take: some times the longest way between data
@@ -43,7 +44,7 @@
 #[derive(Debug, thiserror::Error)]
 enum LinkError {
     #[error("cannot connect: {0}")]
-    Dial(String),
+    Dial(#[source] std::io::Error),
     #[error("connection broke: {0}")]
     Broken(#[from] std::io::Error),
     #[error("unreadable message: {0}")]
@@ -275,14 +276,7 @@
 /// Takes connections of other daemons.
 pub(crate) async fn accept(world: rc::Rc<world::DaemonWorld>, listener: tokio::net::TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(target: "sardinepaddle", error:% = error; "cannot accept a daemon");
-                time::sleep(CHOICE_PERIOD).await;
-                continue;
-            }
-        };
+        let stream = sockets::accept(&listener, "a daemon").await;
         let world = world.clone();
         task::spawn_local(async move {
             let link = DaemonLink::new(&world, stream);
@@ -420,9 +414,8 @@
     world: &rc::Rc<world::DaemonWorld>,
     address: net::SocketAddr,
 ) -> Result<(DaemonLink, ids::HostId, PlacerState)> {
-    let stream = time::timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| LinkError::Dial("timed out".to_owned()))?;
-    let stream = stream.map_err(|error| LinkError::Dial(error.to_string()))?;
+    let stream = sockets::dial(address, DIAL_TIMEOUT).await;
+    let stream = stream.map_err(LinkError::Dial)?;
     let mut link = DaemonLink::new(world, stream)?;
     let (host, _, state) = link.greet().await?;
     Ok((link, host, state))
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -17,7 +17,7 @@
     Placing,
     /// It can, but is about to end.
     Leaving,
-    /// It can't: it knows no configuration yet.
+    /// It can't: it knows too little of the store yet.
     Unready,
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,27 +2,16 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics as api;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics;
-use prometheus::Encoder;
+use process::scrape;
 
 /// Upper bounds of the histograms of times, seconds: the users' objectives and limits lie between.
 const TIME_BOUNDS: [f64; 14] = [
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 4.0, 6.0, 10.0, 15.0,
 ];
 
-/// Why metrics could not be set up or written.
-#[derive(Debug, thiserror::Error)]
-#[error("metrics: {0}")]
-pub(crate) struct MetricsError(String);
-
-/// Result of this module.
-pub(crate) type Result<T> = std::result::Result<T, MetricsError>;
-
 /// All metrics of a daemon.
 pub(crate) struct GatewayMetrics {
-    registry: prometheus::Registry,
-    _provider: metrics::SdkMeterProvider,
+    registry: scrape::ScrapeRegistry,
     requests: api::Counter<u64>,
     placements: api::Counter<u64>,
     attempts: api::Counter<u64>,
@@ -40,16 +29,9 @@
 
 impl GatewayMetrics {
     /// Sets all metrics up.
-    pub fn new() -> Result<Self> {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| MetricsError(error.to_string()))?;
-        let provider = metrics::SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .build();
-        let meter = provider.meter("sardinepaddle");
+    pub fn new() -> scrape::Result<Self> {
+        let registry = scrape::ScrapeRegistry::new()?;
+        let meter = registry.meter();
         let counter = |name, help| meter.u64_counter(name).with_description(help).build();
         let gauge = |name, help| meter.u64_gauge(name).with_description(help).build();
         let histogram = |name, help| {
@@ -86,7 +68,6 @@
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
-            _provider: provider,
         })
     }
 
@@ -144,12 +125,7 @@
     }
 
     /// All metrics as Prometheus text.
-    pub fn render(&self) -> Result<String> {
-        let mut buffer = Vec::new();
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode(&self.registry.gather(), &mut buffer)
-            .map_err(|error| MetricsError(error.to_string()))?;
-        String::from_utf8(buffer).map_err(|error| MetricsError(error.to_string()))
+    pub fn render(&self) -> scrape::Result<String> {
+        self.registry.render()
     }
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use crate::sockets;
 use crate::world;
 
 type PortAnswer = http::Response<Full<Bytes>>;
@@ -20,10 +21,7 @@
     answer: fn(&world::DaemonWorld) -> PortAnswer,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-            continue;
-        };
+        let stream = sockets::accept(&listener, "a check or a scrape").await;
         let world = world.clone();
         let service = hyper::service::service_fn(move |_: http::Request<Incoming>| {
             let answer = answer(&world);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use model::millis;
 use platform::headers;
 use pool::trouble;
 use tokio::time;
@@ -120,7 +121,7 @@
     request: &request::CallerRequest,
     live: request::LiveAnswer,
 ) -> Result<http::Response<answer::AnswerBody>, Broken> {
-    let limit = request::span(request.left_ms());
+    let limit = millis::span(request.left_ms());
     let whole = match time::timeout(limit, live.body.collect()).await {
         Ok(Ok(whole)) => whole.to_bytes(),
         Ok(Err(_)) => return Err((live.attempt, trouble::EndpointSign::Failed, "answer_torn")),
@@ -155,7 +156,7 @@
 }
 
 async fn next_piece(body: &mut Incoming, wait_ms: f64) -> Piece {
-    match time::timeout(request::span(wait_ms), body.frame()).await {
+    match time::timeout(millis::span(wait_ms), body.frame()).await {
         Ok(Some(Ok(frame))) => Piece::Bytes(frame.into_data().unwrap_or_default()),
         Ok(Some(Err(_))) => Piece::Broken(trouble::EndpointSign::Failed, "stream_torn"),
         Ok(None) => Piece::End,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::ids;
+use model::millis;
 use platform::headers;
 use pool::attempts;
 use pool::job;
@@ -62,20 +63,12 @@
     fn patience_ms(&self) -> f64 {
         let route = &self.found.route;
         let (objectives, pauses) = PATIENCE_FACTORS;
-        let by_objective = objectives * millis(route.objective);
-        let by_pause = pauses * millis(route.pause_objective);
+        let by_objective = objectives * millis::count(route.objective);
+        let by_pause = pauses * millis::count(route.pause_objective);
         LEAST_PATIENCE_MS.max(by_objective).max(by_pause)
     }
 }
 
-pub(crate) fn millis(span: Duration) -> f64 {
-    span.as_secs_f64() * 1_000.0
-}
-
-pub(crate) fn span(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1_000.0)
-}
-
 /// A place held for an attempt. Dropped, it is given back.
 pub(crate) struct JobLease {
     world: rc::Rc<world::DaemonWorld>,
@@ -115,19 +108,13 @@
 
     /// The attempt gave all that it should.
     pub async fn complete(mut self, upstreams: &upstream::UpstreamPool) {
-        self.lease.end(job::JobEnd {
-            sign: trouble::EndpointSign::Good,
-            at_fault: None,
-        });
+        self.lease.end(trouble::EndpointSign::Good.into());
         upstreams.put_back(self.connection, self.keep).await;
     }
 
     /// The attempt failed; its connection is cut.
     pub fn fail(mut self, sign: trouble::EndpointSign) {
-        self.lease.end(job::JobEnd {
-            sign,
-            at_fault: None,
-        });
+        self.lease.end(sign.into());
     }
 }
 
@@ -367,7 +354,7 @@
         mut sent: SentRequest,
         mut held: Option<SentRequest>,
     ) -> Result<LiveAnswer, AttemptFault> {
-        let limit = time::sleep(span(self.first_wait_ms(&sent.plan)));
+        let limit = time::sleep(millis::span(self.first_wait_ms(&sent.plan)));
         tokio::pin!(limit);
         loop {
             let earlier = async {
@@ -408,14 +395,11 @@
         mut held: SentRequest,
         wait_ms: f64,
     ) -> Result<LiveAnswer, AttemptFault> {
-        match time::timeout(span(wait_ms), held.exchange.as_mut()).await {
+        match time::timeout(millis::span(wait_ms), held.exchange.as_mut()).await {
             Ok(reply) => self.answer_of(held, reply).await,
             Err(_) => {
                 let sign = trouble::EndpointSign::Silent;
-                held.lease.end(job::JobEnd {
-                    sign,
-                    at_fault: None,
-                });
+                held.lease.end(sign.into());
                 Err(AttemptFault::may_have_run(sign, "no_answer_in_time"))
             }
         }
@@ -497,7 +481,7 @@
         let world = &request.world;
         let asked_at = world.now();
         let ask = self.ask(asked_at);
-        let verdict = time::timeout(span(request.left_ms()), world.place(job, ask)).await;
+        let verdict = time::timeout(millis::span(request.left_ms()), world.place(job, ask)).await;
         let waited = world.now() - asked_at;
         match verdict {
             Ok(Some(job::PlaceVerdict::Placed(plan))) => {
@@ -535,7 +519,7 @@
     fn ask(&self, now: f64) -> job::PlaceAsk {
         let request = &self.request;
         let route = &request.found.route;
-        let full_objective_ms = millis(route.objective);
+        let full_objective_ms = millis::count(route.objective);
         let shape = match request.hints.tokens {
             Some((tokens, answer_tokens)) => job::JobShape::Prompt {
                 tokens,
@@ -550,7 +534,7 @@
             centre: request.world.settings().data_centre.clone(),
             objective_ms: request.arrived + full_objective_ms - now,
             full_objective_ms,
-            pause_ms: millis(route.pause_objective),
+            pause_ms: millis::count(route.pause_objective),
             patience_ms: request.patience_ms(),
             left_ms: request.left_ms(),
             priority: request.found.priority,
@@ -611,7 +595,7 @@
             &request.headers,
             &headers::SendOrder {
                 endpoint: &plan.first.endpoint,
-                left: span(request.left_ms()),
+                left: millis::span(request.left_ms()),
                 customer: request.found.customer.as_ref(),
                 priority: request.hints.tokens.is_some().then_some(plan.priority),
                 helpers: &helpers,
@@ -678,7 +662,7 @@
             fault.sign = trouble::EndpointSign::Nothing;
         }
         let limited = http_body_util::Limited::new(body, FAILURE_BODY_BYTES);
-        let whole = time::timeout(span(self.request.left_ms()), limited.collect()).await;
+        let whole = time::timeout(millis::span(self.request.left_ms()), limited.collect()).await;
         if let Ok(Ok(whole)) = whole {
             // A status that promises that nothing ran is not passed on without the proof.
             fault.failure = (!marks.promises_not_run).then(|| EndpointFailure {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,13 +1,14 @@
 //! Starts the daemon, reloads its settings, and ends it in good order.
 
-use std::net;
 use std::path;
 use std::rc;
 use std::time::Duration;
 
+use model::millis;
 use model::serving;
+use process::listen;
+use process::scrape;
 use settings::gateway;
-use tokio::net::TcpListener;
 use tokio::signal::unix;
 use tokio::sync::watch;
 use tokio::task;
@@ -19,7 +20,6 @@
 use crate::logs;
 use crate::metrics;
 use crate::ports;
-use crate::request;
 use crate::upstream;
 use crate::world;
 
@@ -42,17 +42,11 @@
     #[error("cannot start the runtime")]
     Runtime(#[source] std::io::Error),
     /// An address could not be bound.
-    #[error("cannot listen on {address}")]
-    Listen {
-        /// The address.
-        address: net::SocketAddr,
-        /// The cause.
-        #[source]
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] listen::ListenError),
     /// Metrics could not be set up.
-    #[error("{0}")]
-    Metrics(String),
+    #[error("cannot set metrics up")]
+    Metrics(#[from] scrape::ScrapeError),
     /// Signals could not be caught.
     #[error("cannot catch signals")]
     Signal(#[source] std::io::Error),
@@ -79,8 +73,7 @@
     let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(RunError::Signal)?;
     let mut hangup = unix::signal(unix::SignalKind::hangup()).map_err(RunError::Signal)?;
     let log = logs::init(settings.host.as_str(), &settings.log_level);
-    let metrics = metrics::GatewayMetrics::new();
-    let metrics = metrics.map_err(|error| RunError::Metrics(error.to_string()))?;
+    let metrics = metrics::GatewayMetrics::new()?;
     let entry = serving::DaemonEntry {
         host: settings.host.clone(),
         centre: settings.data_centre.clone(),
@@ -88,15 +81,15 @@
         cpu_millis: (settings.cpu_share * 1_000.0) as u32,
     };
     let entry = serde_json::to_string(&entry).map_err(RunError::Entry)?;
-    let listen = settings.listen.clone();
+    let ports = settings.listen.clone();
     let world = rc::Rc::new(world::DaemonWorld::new(settings, metrics, log));
     let upstreams = rc::Rc::new(upstream::UpstreamPool::default());
     let (close, closing) = watch::channel(false);
 
-    let checks = bind(listen.readiness).await?;
-    let scrapes = bind(listen.metrics).await?;
-    let peers = bind(listen.peers).await?;
-    let callers = bind(listen.callers).await?;
+    let checks = listen::bind(ports.readiness).await?;
+    let scrapes = listen::bind(ports.metrics).await?;
+    let peers = listen::bind(ports.peers).await?;
+    let callers = listen::bind(ports.callers).await?;
     task::spawn_local(ports::serve(checks, world.clone(), ports::readiness));
     task::spawn_local(ports::serve(scrapes, world.clone(), ports::metrics));
     task::spawn_local(links::accept(world.clone(), peers));
@@ -110,7 +103,7 @@
     feeds::start(&world);
     task::spawn_local(feeds::enlist(world.clone(), entry));
     task::spawn_local(tick(world.clone(), upstreams));
-    log::info!(target: "sardinepaddle", life = world.life, callers:% = listen.callers;
+    log::info!(target: "sardinepaddle", life = world.life, callers:% = ports.callers;
         "daemon started");
 
     let mut looks = time::interval(SWEEP_PERIOD);
@@ -126,11 +119,6 @@
     Ok(())
 }
 
-async fn bind(address: net::SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| RunError::Listen { address, source })
-}
-
 async fn tick(world: rc::Rc<world::DaemonWorld>, upstreams: rc::Rc<upstream::UpstreamPool>) {
     let mut ticks = time::interval(TICK_PERIOD);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -177,7 +165,7 @@
 /// Stops being ready, serves until the balancer has noticed, and finishes what was read.
 async fn drain(world: &world::DaemonWorld, close: &watch::Sender<bool>) {
     let grace = world.settings().bounds.grace();
-    let end = time::Instant::now() + grace.saturating_sub(request::span(world::END_MARGIN_MS));
+    let end = time::Instant::now() + grace.saturating_sub(millis::span(world::END_MARGIN_MS));
     world.leave();
     log::info!(target: "sardinepaddle", active = world.active.get(), grace_ms = grace.as_millis();
         "daemon leaves");
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,9 +1,11 @@
-//! Options of connections to endpoints.
+//! Makes and takes connections.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::net;
+use tokio::time;
 
 /// Idle time after which a connection is probed, and time between probes; the least that the
 /// system takes.
@@ -12,6 +14,28 @@
 /// request elsewhere must be released within four seconds of an endpoint's end.
 pub const DEAD_AFTER: Duration = Duration::from_secs(2);
 
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes the next connection; `who` names in the log who opens such ones.
+pub(crate) async fn accept(listener: &net::TcpListener, who: &str) -> net::TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!(target: "sardinepaddle", error:% = error; "cannot accept {who}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Opens a connection within a time.
+pub(crate) async fn dial(address: SocketAddr, limit: Duration) -> io::Result<net::TcpStream> {
+    let stream = time::timeout(limit, net::TcpStream::connect(address)).await;
+    stream.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "timed out"))?
+}
+
 /// Makes a connection send at once, and notice an endpoint that went without a word.
 pub fn tune(stream: &net::TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -140,8 +140,7 @@
 
 async fn dial(address: net::SocketAddr) -> Result<UpstreamConnection> {
     let failed = |error: String| UpstreamError::Connect(error);
-    let stream = time::timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| failed("timed out".to_owned()))?;
+    let stream = sockets::dial(address, CONNECT_TIMEOUT).await;
     let stream = stream.map_err(|error| failed(error.to_string()))?;
     sockets::tune(&stream).map_err(|error| failed(error.to_string()))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ids;
 pub mod load;
 pub mod map;
+pub mod millis;
 pub mod outcome;
 pub mod peer;
 pub mod request;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -143,3 +143,13 @@
     /// The endpoint at fault, if it is not the first of the plan.
     pub at_fault: Option<ids::EndpointId>,
 }
+
+impl From<trouble::EndpointSign> for JobEnd {
+    /// An end that says something of the first endpoint of the plan.
+    fn from(sign: trouble::EndpointSign) -> Self {
+        Self {
+            sign,
+            at_fault: None,
+        }
+    }
+}
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -200,11 +200,7 @@
     /// The caller of a request went away, or its daemon did.
     pub fn withdraw(&mut self, now: f64, job: job::JobId) {
         self.waiting.retain(|waiting| waiting.job != job);
-        let end = job::JobEnd {
-            sign: trouble::EndpointSign::Nothing,
-            at_fault: None,
-        };
-        self.end(now, job, &end);
+        self.end(now, job, &trouble::EndpointSign::Nothing.into());
     }
 
     /// Everything of a daemon's earlier life is over.
