--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -444,6 +444,19 @@
     pub fn log_text(&self, name: &str) -> String {
         fs::read_to_string(log(&self.folder, name)).unwrap_or_default()
     }
+
+    /// Last lines of the daemons' logs, for the reader of a failure.
+    pub fn daemon_logs(&self) -> String {
+        const LINES: usize = 60;
+        let mut text = String::new();
+        for index in 0..self.daemons.len() {
+            let log = self.log_text(&format!("daemon-{index}"));
+            let lines = log.lines().collect::<Vec<_>>();
+            let last = &lines[lines.len().saturating_sub(LINES)..];
+            text += &format!("--- daemon-{index}\n{}\n", last.join("\n"));
+        }
+        text
+    }
 }
 
 fn late(what: &str) -> io::Error {
--- a/crates/fakes/src/scenario/run.rs
+++ b/crates/fakes/src/scenario/run.rs
@@ -57,7 +57,7 @@
         if let Err(text) = step::carry_out(&mut run, step).await {
             return Err(error::ScenarioError::Step {
                 number: index + 1,
-                text: format!("{text}\n{}", run.daemon_logs()),
+                text: format!("{text}\n{}", run.fleet.daemon_logs()),
             });
         }
     }
@@ -71,7 +71,7 @@
     if failures.is_empty() {
         return Ok(());
     }
-    failures.push(run.daemon_logs());
+    failures.push(run.fleet.daemon_logs());
     Err(error::ScenarioError::Expectations(failures))
 }
 
@@ -91,17 +91,4 @@
             time::sleep(LOOK_PERIOD).await;
         }
     }
-
-    /// Last lines of the daemons' logs, for the reader of a failure.
-    pub fn daemon_logs(&self) -> String {
-        const LINES: usize = 60;
-        let mut text = String::new();
-        for index in 0..self.fleet.daemons.len() {
-            let log = self.fleet.log_text(&format!("daemon-{index}"));
-            let lines = log.lines().collect::<Vec<_>>();
-            let last = &lines[lines.len().saturating_sub(LINES)..];
-            text += &format!("--- daemon-{index}\n{}\n", last.join("\n"));
-        }
-        text
-    }
 }
--- a/crates/fakes/tests/taken_out.rs
+++ b/crates/fakes/tests/taken_out.rs
@@ -77,9 +77,12 @@
             time::sleep(Duration::from_millis(50)).await;
         }
     };
-    time::timeout(Duration::from_secs(30), tries)
-        .await
-        .expect("the engines got no work in time");
+    let waited = time::timeout(Duration::from_secs(30), tries).await;
+    assert!(
+        waited.is_ok(),
+        "the engines got no work in time\n{}",
+        fleet.daemon_logs()
+    );
 }
 
 async fn take_out(fleet: &fleet::ProcessFleet) -> (config::ConfigVersion, config::FleetConfig) {
