Foretell engines' passes one by one, and let short prompts share engines

Replaying the log against models of the engine (order of parts, when arrivals join, when events leave) showed: parts of a prompt that several engines read go ahead of all that waits, the newest first; what arrives joins at the next pass; events leave at a pass's end. The placer queued parts behind one another, and the tests' engine did too.

Ruled out: order by the request's rank, parts of the first engine behind others, arrivals within a pass (each replayed, each further off).

Change: PassModel follows each engine's passes and foretells, with and without a prompt's part, when each prompt there is read and how long the passes of those that generate get; the placer weighs what others lose by that. A short prompt pays for an engine that has none yet, so that others stay clear for long ones. An engine's slots count what it generates for, and apart from that what it helps to read.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -486,8 +486,10 @@
         match verdict {
             Ok(Some(job::PlaceVerdict::Placed(plan))) => {
                 world.metrics.placement("placed", waited);
+                let (tokens, answer_tokens) = request.hints.tokens.unwrap_or_default();
                 log::info!(target: "sardinepaddle", request = request.hints.attempt,
                     job = job.number, endpoint:% = plan.first.endpoint,
+                    prompt_tokens = tokens, answer_tokens, helped_by = helped_by(&plan),
                     helpers = plan.helpers.len(), predicted_ms = plan.predicted_ms,
                     waited_ms = waited, left_ms = request.left_ms(),
                     data_age_ms = world.data_age(); "request placed");
@@ -675,6 +677,12 @@
     }
 }
 
+/// Names of the endpoints that help to read a prompt, for the log.
+fn helped_by(plan: &job::PlacePlan) -> String {
+    let names = plan.helpers.iter().map(|helper| helper.endpoint.as_str());
+    names.collect::<Vec<_>>().join(",")
+}
+
 type Exchanged = (upstream::UpstreamConnection, http::Response<Incoming>);
 
 /// A request on its way to an endpoint.
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -201,7 +201,7 @@
         }
         let mut placer = self.placer.borrow_mut();
         placer.set_services(&known.index().config().services);
-        placer.set_endpoints(self.now(), &known.endpoints(), known.emptied());
+        placer.set_endpoints(&known.endpoints(), known.emptied());
         self.changes.send_replace(known.last_change());
     }
 
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -30,6 +30,24 @@
     Call,
 }
 
+impl JobShape {
+    /// Tokens of the prompt; none for a call.
+    pub fn prompt_tokens(&self) -> u64 {
+        match self {
+            Self::Prompt { tokens, .. } => *tokens,
+            Self::Call => 0,
+        }
+    }
+
+    /// Most tokens of the answer; none for a call.
+    pub fn answer_tokens(&self) -> u64 {
+        match self {
+            Self::Prompt { answer_tokens, .. } => *answer_tokens,
+            Self::Call => 0,
+        }
+    }
+}
+
 /// A request that looks for an endpoint. All times count from when it is asked.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PlaceAsk {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod engine;
 pub mod job;
+pub mod passes;
 pub mod placer;
 pub mod rank;
 pub mod replica;
@@ -18,4 +19,5 @@
 
 mod load;
 mod members;
+mod spread;
 mod state;
--- a/crates/pool/src/members.rs
+++ b/crates/pool/src/members.rs
@@ -4,7 +4,7 @@
 
 use model::serving;
 
-use crate::load;
+use crate::passes;
 use crate::state;
 
 /// Tokens set aside beyond the prompt's part, for rounding to blocks.
@@ -13,15 +13,31 @@
 pub(crate) const MOST_HOLDERS: usize = 4;
 /// Price of sending to another data centre, units of worth; settles ties.
 pub(crate) const CROSS_CENTRE_PRICE: f64 = 0.004;
-/// Price of each request that an engine generates for already, units of worth; spreads them.
-const CROWD_PRICE: f64 = 0.01;
+/// Price of a request on an engine that generates for none with pauses as short, units of worth: it
+/// is spoilt for reading long prompts.
+const OPEN_PRICE: f64 = 0.4;
 /// Least time left to an objective that the price of waiting is reckoned over, ms.
 const LEAST_LEFT_MS: f64 = 100.0;
 
-/// An engine with what it does.
+/// An engine with what its requests are to expect.
 pub(crate) struct EngineView<'a> {
     pub state: &'a state::EndpointState,
-    pub load: load::EngineLoad,
+    /// Without the request that looks for a place.
+    pub forecast: Vec<passes::JobForecast>,
+    /// Shortest pause that one of its requests bears, ms.
+    pub shortest_pause_ms: f64,
+}
+
+/// An engine as a member of a plan.
+#[derive(Clone, Copy)]
+pub(crate) struct MemberCost<'v, 'a> {
+    pub view: &'v EngineView<'a>,
+    /// When its part is read, ms.
+    pub read_at: f64,
+    /// Longest pass while it generates, ms.
+    pub longest_pass: f64,
+    /// Worth that others lose.
+    pub harm: f64,
 }
 
 impl EngineView<'_> {
@@ -31,48 +47,36 @@
     }
 }
 
-/// Engines with room for one more request, those that lose least by it first.
-pub(crate) fn rank_members<'v, 'a>(
-    now: f64,
-    waiting: &state::WaitingAsk,
-    profile: &serving::EngineProfile,
-    views: &'v [EngineView<'a>],
-    addition: &load::ReadAddition,
-) -> Vec<&'v EngineView<'a>> {
-    let left = (waiting.objective_at - now).max(LEAST_LEFT_MS);
-    let wait_price = waiting.value / left;
-    let cost = |view: &EngineView<'_>| {
-        let away = view.state.live.centre != waiting.ask.centre;
-        view.load.harm(profile, addition)
-            + view.state.trouble.share(now) * waiting.value
+impl MemberCost<'_, '_> {
+    /// What settles the order of engines, units of worth.
+    pub fn rank(&self, now: f64, waiting: &state::WaitingAsk) -> f64 {
+        let ask = &waiting.ask;
+        let left = (waiting.objective_at - now).max(LEAST_LEFT_MS);
+        let wait = (self.read_at - now).max(0.0) / left;
+        let away = self.view.state.live.centre != ask.centre;
+        let opens = self.view.shortest_pause_ms > ask.pause_ms;
+        self.harm
+            + self.view.state.trouble.share(now) * waiting.value
             + if away { CROSS_CENTRE_PRICE } else { 0.0 }
-            + view.load.start_ms() * wait_price
-            + CROWD_PRICE * view.load.first_here as f64
-    };
-    let open = views
-        .iter()
-        .filter(|view| view.state.jobs.len() < view.state.live.slots as usize);
-    let mut ranked: Vec<(f64, &EngineView<'_>)> = open.map(|view| (cost(view), view)).collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    ranked.into_iter().map(|(_, view)| view).collect()
+            + waiting.value * wait.powi(2)
+            + if opens { OPEN_PRICE } else { 0.0 }
+    }
 }
 
-/// The first `spread` of some engines; if none of these has room for a prompt, those with most
-/// room go before, as many as it needs.
+/// The first `spread` of some engines in order; if none of these has room for a prompt, those with
+/// most room go before, as many as it needs.
 pub(crate) fn take_members<'v, 'a>(
-    mut ranked: Vec<&'v EngineView<'a>>,
+    mut ranked: Vec<MemberCost<'v, 'a>>,
     spread: usize,
     need: u64,
     profile: &serving::EngineProfile,
-) -> Option<Vec<&'v EngineView<'a>>> {
+) -> Option<Vec<MemberCost<'v, 'a>>> {
     if ranked.len() < spread {
         return None;
     }
-    if ranked[..spread]
-        .iter()
-        .all(|view| view.room(profile) < need)
-    {
-        let mut by_room = ranked.clone();
+    let chosen = &ranked[..spread];
+    if chosen.iter().all(|cost| cost.view.room(profile) < need) {
+        let mut by_room: Vec<&EngineView<'_>> = ranked.iter().map(|cost| cost.view).collect();
         by_room.sort_by_key(|view| cmp::Reverse(view.room(profile)));
         let mut missing = need;
         by_room.retain(|view| {
@@ -80,11 +84,11 @@
             missing = missing.saturating_sub(view.room(profile));
             taken
         });
-        let taken = |view: &&EngineView<'_>| {
+        let taken = |cost: &MemberCost<'_, '_>| {
             let mut others = by_room.iter();
-            others.any(|other| other.state.live.id == view.state.live.id)
+            others.any(|other| other.state.live.id == cost.view.state.live.id)
         };
-        ranked.sort_by_key(|view| !taken(view));
+        ranked.sort_by_key(|cost| !taken(cost));
     }
     ranked.truncate(spread);
     Some(ranked)
@@ -100,20 +104,25 @@
     pub helpers: Vec<(&'v EngineView<'a>, u64)>,
 }
 
-/// Splits the memory of a prompt over its engines: all of it on the one with the shortest pass of
-/// those with room, or else what the one with most room can't take on others.
+/// Splits the memory of a prompt over its engines: all of it on the one that loses least by
+/// generating for it (`cost`) of those with room, or else what the one with most room can't take on
+/// others.
 pub(crate) fn split_memory<'v, 'a>(
-    members: &[&'v EngineView<'a>],
+    members: &[MemberCost<'v, 'a>],
     need: u64,
     profile: &serving::EngineProfile,
+    cost: impl Fn(&EngineView<'_>) -> f64,
 ) -> Option<MemorySplit<'v, 'a>> {
-    let fitting = members.iter().filter(|view| view.room(profile) >= need);
+    let views = || members.iter().map(|member| member.view);
+    let fitting = views().filter(|view| view.room(profile) >= need);
     let first = fitting
-        .min_by(|a, b| a.load.pass_ms.total_cmp(&b.load.pass_ms))
-        .or_else(|| members.iter().max_by_key(|view| view.room(profile)))?;
+        .map(|view| (cost(view), view))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, view)| view)
+        .or_else(|| views().max_by_key(|view| view.room(profile)))?;
     let mut missing = need.saturating_sub(first.room(profile));
     let first_tokens = need - missing;
-    let mut others: Vec<&EngineView<'_>> = members.to_vec();
+    let mut others: Vec<&EngineView<'_>> = views().collect();
     others.retain(|view| view.state.live.id != first.state.live.id);
     others.sort_by_key(|view| cmp::Reverse(view.room(profile)));
     let mut helpers = Vec::with_capacity(others.len());
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -17,15 +17,12 @@
 use crate::job;
 use crate::load;
 use crate::members;
+use crate::passes;
+use crate::spread;
 use crate::state;
 use crate::trouble;
 use crate::value;
 
-/// Numbers of engines over which the reading of a prompt may be spread; the last is the most
-/// that the platform takes.
-const SPREADS: [usize; 10] = [1, 2, 3, 4, 6, 8, 10, 12, 14, 17];
-/// Least tokens of a part, so that a helper saves more than it costs: two steps.
-const LEAST_PART_TOKENS: u64 = 4_096;
 /// Time on the network and in daemons between a caller and an endpoint, both ways, ms.
 const NETWORK_MS: f64 = 12.0;
 /// Price of a ms of an idle engine, in units of a short prompt's worth.
@@ -72,13 +69,6 @@
     pub cold_extra: f64,
 }
 
-#[derive(Clone, Debug)]
-struct PlanChoice {
-    plan: job::PlacePlan,
-    shares: Vec<state::MemberShare>,
-    gain: f64,
-}
-
 /// State of the pool and the decisions on it.
 #[derive(Clone, Debug)]
 pub struct JobPlacer {
@@ -125,21 +115,16 @@
     }
 
     /// Takes the endpoints listed now and the data centres that are to get nothing.
-    pub fn set_endpoints(
-        &mut self,
-        now: f64,
-        listed: &[serving::LiveEndpoint],
-        closed: &[ids::CentreId],
-    ) {
+    pub fn set_endpoints(&mut self, listed: &[serving::LiveEndpoint], closed: &[ids::CentreId]) {
         for state in self.endpoints.values_mut() {
             state.listed = false;
         }
         for live in listed {
             let state = self.endpoints.entry(live.id.clone());
-            let state = state.or_insert_with(|| state::EndpointState::new(live.clone(), now));
+            let state = state.or_insert_with(|| state::EndpointState::new(live.clone()));
             if state.live.born_ms != live.born_ms {
                 // A new life under the same id holds nothing of before.
-                *state = state::EndpointState::new(live.clone(), now);
+                *state = state::EndpointState::new(live.clone());
             }
             state.live = live.clone();
             state.listed = true;
@@ -169,6 +154,7 @@
         } else {
             budget.request(now);
         }
+        self.advance(now);
         let waiting = self.weigh(now, job, ask);
         if !self.settle(now, &waiting) {
             self.waiting.push(waiting);
@@ -179,7 +165,7 @@
     fn weigh(&mut self, now: f64, job: job::JobId, ask: job::PlaceAsk) -> state::WaitingAsk {
         let (value, cost_share) = match ask.shape {
             job::JobShape::Prompt { tokens, .. } => {
-                let answer = answer_tokens(&ask.shape);
+                let answer = ask.shape.answer_tokens();
                 let value = self.values.value(&ask.route, tokens, answer);
                 (value.value, self.cost_share(&ask.service, tokens, &value))
             }
@@ -217,7 +203,8 @@
         if self.jobs.contains_key(&running.job) {
             return;
         }
-        let shares = self.shares(now, &running.ask, &running.plan);
+        self.advance(now);
+        let shares = self.shares(now, running.job, &running.ask, &running.plan);
         let waiting = self.weigh(now, running.job, running.ask.clone());
         self.place(now, &waiting, shares, running.plan.predicted_ms);
         if running.started {
@@ -231,17 +218,16 @@
             return;
         };
         job.started = true;
-        if now + NETWORK_MS / 2.0 > job.objective_at {
-            job.lost = 1.0;
-        }
-        for share in &mut job.members {
-            let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
-                continue;
-            };
-            // Reading went faster than predicted: what follows it here comes earlier too.
-            let early = (share.read_until - now).max(0.0);
-            state.read_free_at -= early.min((state.read_free_at - now).max(0.0));
-            share.read_until = share.read_until.min(now);
+        let late = now + state::ONE_WAY_MS > job.objective_at;
+        job.outlook = load::JobOutlook {
+            late: f64::from(u8::from(late)),
+            cut: 0.0,
+        };
+        for share in &job.members {
+            if let Some(state) = self.endpoints.get_mut(&share.endpoint) {
+                let context = share.part.and_then(|part| part.context);
+                state.passes.start(now, id, context);
+            }
         }
     }
 
@@ -256,8 +242,7 @@
             };
             state.jobs.retain(|other| *other != id);
             state.memory_used = state.memory_used.saturating_sub(share.memory);
-            let unread = (share.read_until - now).clamp(0.0, share.read_ms);
-            state.read_free_at -= unread;
+            state.passes.remove(id);
             let at_fault = match &end.at_fault {
                 Some(endpoint) => *endpoint == share.endpoint,
                 None => position == 0,
@@ -274,6 +259,7 @@
 
     /// Time has passed: looks again at what waits.
     pub fn tick(&mut self, now: f64) {
+        self.advance(now);
         let mut waiting = std::mem::take(&mut self.waiting);
         // What is worth most for the time that it takes goes first.
         let density = |ask: &state::WaitingAsk| ask.value / (ask.cost_share * ask.best_ms).max(1.0);
@@ -335,7 +321,7 @@
             0.0
         };
         let floor = ACCEPTED_GAIN * choosy.max(0.0) * waiting.value;
-        let worth_it = |choice: &PlanChoice| choice.gain > floor;
+        let worth_it = |choice: &spread::PlanChoice| choice.gain > floor;
         if let Some(choice) = choice.filter(worth_it) {
             let predicted = choice.plan.predicted_ms;
             self.place(now, waiting, choice.shares, predicted);
@@ -388,7 +374,7 @@
         match (ask.shape, engine) {
             (job::JobShape::Prompt { tokens, .. }, Some(profile)) => {
                 let open = self.open(&ask.service).count().max(1);
-                let spread = most_members(tokens).min(open);
+                let spread = spread::most_members(tokens).min(open);
                 engine::read_ms(profile, tokens, spread)
                     + engine::pass_ms(profile, 1, 0)
                     + NETWORK_MS
@@ -413,7 +399,7 @@
         &self,
         now: f64,
         waiting: &state::WaitingAsk,
-    ) -> Result<Option<PlanChoice>, job::DeclineReason> {
+    ) -> Result<Option<spread::PlanChoice>, job::DeclineReason> {
         let ask = &waiting.ask;
         let profile = self.services.get(&ask.service);
         let engine = profile.and_then(|profile| profile.engine.as_ref());
@@ -434,7 +420,7 @@
             (job::JobShape::Prompt { tokens, .. }, Some(engine)) => {
                 let memory = state::given_memory(engine);
                 let holders = open.len().min(members::MOST_HOLDERS + 1) as u64;
-                if tokens + answer_tokens(&ask.shape) > memory * holders {
+                if tokens + ask.shape.answer_tokens() > memory * holders {
                     return Err(job::DeclineReason::TooLarge);
                 }
                 Ok(self.choose_engines(now, waiting, engine, &usable))
@@ -457,7 +443,7 @@
         now: f64,
         waiting: &state::WaitingAsk,
         usable: &[&state::EndpointState],
-    ) -> Option<PlanChoice> {
+    ) -> Option<spread::PlanChoice> {
         let mean = self.mean_call_ms(&waiting.ask.service);
         let crowding = |state: &state::EndpointState| {
             (state.jobs.len() as f64 + 1.0) / f64::from(state.live.slots)
@@ -485,12 +471,10 @@
         };
         let shares = vec![state::MemberShare {
             endpoint: state.live.id.clone(),
-            read_ms: 0.0,
-            token_ms: 0.0,
-            read_until: now,
+            part: None,
             memory: 0,
         }];
-        Some(PlanChoice {
+        Some(spread::PlanChoice {
             plan,
             shares,
             gain: waiting.value,
@@ -503,23 +487,19 @@
         waiting: &state::WaitingAsk,
         profile: &serving::EngineProfile,
         usable: &[&state::EndpointState],
-    ) -> Option<PlanChoice> {
-        let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
-            return None;
+    ) -> Option<spread::PlanChoice> {
+        let search = spread::PromptSearch {
+            now,
+            waiting,
+            profile,
+            jobs: &self.jobs,
+            price: self.price(now, &waiting.ask.service),
         };
-        let price = self.price(now, &waiting.ask.service);
-        let most = most_members(tokens).min(usable.len());
-        let views: Vec<members::EngineView<'_>> = usable
-            .iter()
-            .map(|state| members::EngineView {
-                state,
-                load: self.engine_load(now, state, profile),
-            })
+        let views = usable.iter().copied();
+        let views: Vec<members::EngineView<'_>> = views
+            .map(|state| spread::view(state, profile, &self.jobs))
             .collect();
-        let spreads = SPREADS.iter().filter(|spread| **spread <= most);
-        let choices = spreads
-            .filter_map(|spread| self.choose_spread(now, waiting, profile, &views, price, *spread));
-        choices.max_by(|a, b| a.gain.total_cmp(&b.gain))
+        search.choose(&views)
     }
 
     /// Price of a ms of engine time: it rises with the backlog.
@@ -527,190 +507,56 @@
         let mut backlog = 0.0;
         let mut count = 0.0;
         for (_, state) in self.open(service) {
-            backlog += (state.read_free_at - now).clamp(0.0, MOST_BACKLOG_MS);
+            backlog += state.passes.backlog_ms(now).min(MOST_BACKLOG_MS);
             count += 1.0;
         }
         let mean: f64 = if count > 0.0 { backlog / count } else { 0.0 };
         IDLE_PRICE * (1.0 + (mean / PRICE_BACKLOG_MS).powi(2))
     }
 
-    fn engine_load(
-        &self,
-        now: f64,
-        state: &state::EndpointState,
-        profile: &serving::EngineProfile,
-    ) -> load::EngineLoad {
-        let mut load = load::EngineLoad {
-            backlog_ms: (state.read_free_at - now).max(0.0),
-            pass_ms: 0.0,
-            token_ms: 0.0,
-            generating: Vec::new(),
-            reading: Vec::new(),
-            first_here: 0,
-        };
-        let mut context = 0;
-        for id in &state.jobs {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let unread = job.members.iter().find(|share| {
-                share.endpoint == state.live.id && share.read_until > now && !job.started
-            });
-            load.token_ms = load
-                .token_ms
-                .max(unread.map_or(0.0, |share| share.token_ms));
-            let here = job.members.first();
-            let first = here.is_some_and(|share| share.endpoint == state.live.id);
-            if first {
-                load.first_here += 1;
-                context += job.context;
-                load.generating.push(load::GeneratingJob {
-                    pending_ms: job.pending_ms(now, state.read_free_at),
-                    pause_ms: job.pause_ms,
-                    late_loss: job.at_stake(),
-                    patience_ms: job.patience_ms,
-                    cut_loss: job.rest_at_stake(),
-                });
-            }
-            if !job.started {
-                let spare = job.objective_at - job.first_event_at.max(now);
-                load.reading.push((spare, job.at_stake()));
-            }
-        }
-        load.pass_ms = engine::pass_ms(profile, load.generating.len() + 1, context);
-        load
-    }
-
-    fn choose_spread(
-        &self,
-        now: f64,
-        waiting: &state::WaitingAsk,
-        profile: &serving::EngineProfile,
-        views: &[members::EngineView<'_>],
-        price: f64,
-        spread: usize,
-    ) -> Option<PlanChoice> {
-        let job::JobShape::Prompt { tokens, .. } = waiting.ask.shape else {
-            return None;
-        };
-        let need = tokens + answer_tokens(&waiting.ask.shape) + members::RESERVE_MARGIN;
-        let read_ms = engine::read_ms(profile, tokens, spread);
-        let addition = load::ReadAddition {
-            read_ms,
-            token_ms: read_ms * spread as f64 / tokens.max(1) as f64,
-            ahead: spread > 1,
-        };
-        let ranked = members::rank_members(now, waiting, profile, views, &addition);
-        let members = members::take_members(ranked, spread, need, profile)?;
-        let split = members::split_memory(&members, need, profile)?;
-
-        let start = members.iter().map(|view| view.load.start_ms());
-        let start = start.fold(0.0, f64::max);
-        let predicted = start + read_ms + split.first.load.pass_ms + NETWORK_MS;
-        let objective = waiting.objective_at - now;
-        let on_time = load::on_time_share(predicted, objective, waiting.gone_at - now);
-        let harm: f64 = members
-            .iter()
-            .map(|view| {
-                let trouble = view.state.trouble.share(now) / spread as f64;
-                view.load.harm(profile, &addition) + trouble * waiting.value
-            })
-            .sum();
-        let gain = waiting.value * on_time
-            - waiting.cost_share.sqrt() * harm
-            - waiting.cost_share * price * read_ms * spread as f64;
-
-        let share = |view: &members::EngineView<'_>, memory: u64| state::MemberShare {
-            endpoint: view.state.live.id.clone(),
-            read_ms,
-            token_ms: addition.token_ms,
-            read_until: now + view.load.start_ms() + read_ms,
-            memory,
-        };
-        let mut shares = vec![share(split.first, split.first_tokens)];
-        let helpers = split.helpers.iter();
-        shares.extend(helpers.clone().map(|(view, tokens)| share(view, *tokens)));
-        let plan = job::PlacePlan {
-            first: split.first.state.member(0),
-            helpers: helpers
-                .map(|(view, tokens)| view.state.member(*tokens))
-                .collect(),
-            predicted_ms: predicted,
-            priority: engine_priority(&waiting.ask),
-        };
-        Some(PlanChoice { plan, shares, gain })
-    }
-
     /// Shares of a plan that another placer made.
     fn shares(
         &self,
         now: f64,
+        job: job::JobId,
         ask: &job::PlaceAsk,
         plan: &job::PlacePlan,
     ) -> Vec<state::MemberShare> {
         let engine = self.services.get(&ask.service);
         let engine = engine.and_then(|profile| profile.engine.as_ref());
         let members = 1 + plan.helpers.len();
-        let (read_ms, need) = match (ask.shape, engine) {
-            (job::JobShape::Prompt { tokens, .. }, Some(profile)) => (
-                engine::read_ms(profile, tokens, members),
-                tokens + answer_tokens(&ask.shape) + members::RESERVE_MARGIN,
-            ),
-            _ => (0.0, 0),
+        let tokens = ask.shape.prompt_tokens();
+        let part = engine.map(|profile| {
+            let arrives_at = now + state::ONE_WAY_MS;
+            passes::ReadPart::new(profile, job, tokens, members, arrives_at)
+        });
+        let part = part.filter(|_| tokens > 0);
+        let need = match part {
+            Some(_) => tokens + ask.shape.answer_tokens() + members::RESERVE_MARGIN,
+            None => 0,
         };
         let reserved: u64 = plan
             .helpers
             .iter()
             .map(|helper| helper.reserve_tokens)
             .sum();
-        let first = std::iter::once((&plan.first, need.saturating_sub(reserved)));
+        let generating = part.map(|part| passes::ReadPart {
+            context: Some(tokens as f64),
+            ..part
+        });
+        let first_memory = need.saturating_sub(reserved);
+        let first = std::iter::once((&plan.first, generating, first_memory));
         let helpers = plan.helpers.iter();
         first
-            .chain(helpers.map(|helper| (helper, helper.reserve_tokens)))
-            .map(|(member, memory)| state::MemberShare {
+            .chain(helpers.map(|helper| (helper, part, helper.reserve_tokens)))
+            .map(|(member, part, memory)| state::MemberShare {
                 endpoint: member.endpoint.clone(),
-                read_ms,
-                token_ms: read_ms * members as f64 / (need.max(1) as f64),
-                read_until: now + read_ms,
+                part,
                 memory,
             })
             .collect()
     }
 
-    /// Notes which requests a new read on their engine makes late.
-    fn note_pauses(
-        &mut self,
-        now: f64,
-        waiting: &state::WaitingAsk,
-        shares: &[state::MemberShare],
-    ) {
-        let profile = self.services.get(&waiting.ask.service).cloned();
-        let Some(engine) = profile.as_ref().and_then(|profile| profile.engine.as_ref()) else {
-            return;
-        };
-        for share in shares {
-            let Some(state) = self.endpoints.get(&share.endpoint) else {
-                continue;
-            };
-            let load = self.engine_load(now, state, engine);
-            let (pass_ms, token_ms) = (load.pass_ms, load.token_ms.max(share.token_ms));
-            let most = engine::most_read_ms(engine, token_ms);
-            let (jobs, read_free_at) = (state.jobs.clone(), state.read_free_at);
-            for id in &jobs {
-                let Some(job) = self.jobs.get_mut(id) else {
-                    continue;
-                };
-                let first = job.members.first();
-                if first.is_some_and(|first| first.endpoint == share.endpoint) {
-                    let pending = job.pending_ms(now, read_free_at) + share.read_ms;
-                    let pause = pass_ms + pending.min(most);
-                    job.lost = job.lost.max(load::late_chance(pause, job.pause_ms));
-                    job.cut = job.cut.max(load::late_chance(pause, job.patience_ms));
-                }
-            }
-        }
-    }
-
     fn place(
         &mut self,
         now: f64,
@@ -718,58 +564,69 @@
         shares: Vec<state::MemberShare>,
         predicted: f64,
     ) {
-        self.note_pauses(now, waiting, &shares);
         for share in &shares {
             let Some(state) = self.endpoints.get_mut(&share.endpoint) else {
                 continue;
             };
             state.jobs.push(waiting.job);
             state.memory_used += share.memory;
-            state.read_free_at = state.read_free_at.max(now) + share.read_ms;
+            if let Some(part) = share.part {
+                state.passes.add(part);
+            }
             state.sends.push_back(now);
             while state.sends.front().is_some_and(|at| *at < now - 1_000.0) {
                 state.sends.pop_front();
             }
         }
-        let context = shares.first().map_or(0, |share| share.memory);
+        let ask = &waiting.ask;
         let job = state::PlacedJob {
-            service: waiting.ask.service.clone(),
-            shape: waiting.ask.shape,
+            service: ask.service.clone(),
+            shape: ask.shape,
             value: waiting.value,
             placed_at: now,
             objective_at: waiting.objective_at,
-            pause_ms: waiting.ask.pause_ms,
+            pause_ms: ask.pause_ms,
             gone_at: waiting.gone_at,
-            first_event_at: now + predicted - NETWORK_MS,
+            first_event_at: now + predicted - state::ONE_WAY_MS,
             started: false,
-            lost: load::on_time_loss(predicted, waiting.objective_at - now),
-            cut: 0.0,
-            patience_ms: waiting.ask.patience_ms,
-            context,
+            outlook: load::JobOutlook::default(),
+            patience_ms: ask.patience_ms,
             members: shares,
         };
         self.jobs.insert(waiting.job, job);
+        self.foresee(now, waiting.job);
     }
-}
-
-fn most_members(tokens: u64) -> usize {
-    let most = usize::try_from(tokens / LEAST_PART_TOKENS).unwrap_or(1);
-    most.max(1)
-}
 
-fn answer_tokens(shape: &job::JobShape) -> u64 {
-    match shape {
-        job::JobShape::Prompt { answer_tokens, .. } => *answer_tokens,
-        job::JobShape::Call => 0,
+    /// Notes what the requests on a job's engines are to expect now.
+    fn foresee(&mut self, now: f64, id: job::JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let profile = self.services.get(&job.service).cloned();
+        let Some(engine) = profile.as_ref().and_then(|profile| profile.engine.as_ref()) else {
+            return;
+        };
+        let members = job.members.iter();
+        let engines = members.filter_map(|share| self.endpoints.get(&share.endpoint));
+        let forecasts = engines.flat_map(|state| state.passes.forecast(engine, None));
+        for forecast in forecasts.collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&forecast.job) else {
+                continue;
+            };
+            job.outlook = load::JobOutlook::foretell(now, job, &forecast);
+            if let Some(read_at) = forecast.read_at.filter(|_| !job.started) {
+                job.first_event_at = job.first_event_at.max(read_at);
+            }
+        }
     }
-}
 
-/// Rank for an engine's own queue: tighter objectives go first.
-fn engine_priority(ask: &job::PlaceAsk) -> u8 {
-    let rank = match ask.full_objective_ms {
-        objective if objective <= 500.0 => 0,
-        objective if objective <= 2_000.0 => 2,
-        _ => 4,
-    };
-    rank + ask.priority.min(3)
+    /// Lets the engines' passes go on.
+    fn advance(&mut self, now: f64) {
+        for state in self.endpoints.values_mut() {
+            let profile = self.services.get(&state.live.service);
+            if let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) {
+                state.passes.advance(engine, now);
+            }
+        }
+    }
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -6,8 +6,12 @@
 use model::serving;
 
 use crate::job;
+use crate::load;
+use crate::passes;
 use crate::trouble;
-use crate::value;
+
+/// Time on the network between a daemon and an endpoint, one way, with a daemon's own time, ms.
+pub(crate) const ONE_WAY_MS: f64 = 6.0;
 
 /// Share of an engine's memory that is given out; the rest covers answers longer than guessed.
 const MEMORY_SHARE: f64 = 0.95;
@@ -23,8 +27,8 @@
     pub live: serving::LiveEndpoint,
     pub listed: bool,
     pub closed: bool,
-    /// When all reading that was placed here is done.
-    pub read_free_at: f64,
+    /// What it does, if it is a model engine.
+    pub passes: passes::PassModel,
     pub memory_used: u64,
     pub jobs: Vec<job::JobId>,
     pub trouble: trouble::TroubleScore,
@@ -35,10 +39,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MemberShare {
     pub endpoint: ids::EndpointId,
-    pub read_ms: f64,
-    /// Time that a token of its part takes, ms: longer prompts have more pairs a token.
-    pub token_ms: f64,
-    pub read_until: f64,
+    /// What it reads there; `None` for a plain call.
+    pub part: Option<passes::ReadPart>,
     pub memory: u64,
 }
 
@@ -54,13 +56,10 @@
     pub gone_at: f64,
     pub first_event_at: f64,
     pub started: bool,
-    /// Chance that it is late already, by its first event or by a pause.
-    pub lost: f64,
-    /// Chance that its caller gives up for a pause.
-    pub cut: f64,
+    /// What it is to expect from what was placed so far.
+    pub outlook: load::JobOutlook,
     /// Pause at which its caller gives up, ms.
     pub patience_ms: f64,
-    pub context: u64,
     pub members: Vec<MemberShare>,
 }
 
@@ -81,12 +80,12 @@
 
 impl EndpointState {
     /// One on which nothing was placed.
-    pub fn new(live: serving::LiveEndpoint, now: f64) -> Self {
+    pub fn new(live: serving::LiveEndpoint) -> Self {
         Self {
             live,
             listed: true,
             closed: false,
-            read_free_at: now,
+            passes: passes::PassModel::default(),
             memory_used: 0,
             jobs: Vec::new(),
             trouble: trouble::TroubleScore::default(),
@@ -99,6 +98,13 @@
         self.listed && !self.closed && !self.live.leaving
     }
 
+    /// Whether it can generate for one more request, or help to read its prompt.
+    pub fn has_slot(&self) -> bool {
+        let slots = self.live.slots as usize;
+        let generating = self.passes.generating();
+        generating < slots && self.jobs.len() - generating.min(self.jobs.len()) < slots
+    }
+
     /// Requests sent to it after a time.
     pub fn sends_since(&self, since: f64) -> f64 {
         let recent = self.sends.iter().rev().take_while(|at| **at > since);
@@ -121,20 +127,9 @@
 }
 
 impl PlacedJob {
-    /// Reading placed on its engine, done at `read_free_at`, that falls into its generation, ms.
-    pub fn pending_ms(&self, now: f64, read_free_at: f64) -> f64 {
-        let read = self.members.first().map_or(now, |share| share.read_until);
-        let from = if self.started { now } else { read.max(now) };
-        (read_free_at - from).max(0.0)
-    }
-
-    /// Worth that it loses if it gets late.
-    pub fn at_stake(&self) -> f64 {
-        self.value * (1.0 - value::LATE_SHARE) * (1.0 - self.lost)
-    }
-
-    /// Worth that is left if it is late, and lost if its caller gives up.
-    pub fn rest_at_stake(&self) -> f64 {
-        self.value * value::LATE_SHARE * (1.0 - self.cut)
+    /// Worth that it loses if one engine does as forecast `after` instead of `before`.
+    pub fn loss(&self, now: f64, before: &passes::JobForecast, after: &passes::JobForecast) -> f64 {
+        let share = |forecast| load::JobOutlook::foretell(now, self, forecast).earned_share();
+        self.value * (share(before) - share(after))
     }
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -56,6 +56,8 @@
     EngineLoad {
         kinds: lunch_kinds(),
         engines: 21,
+        slots: 16,
+        stride: 51,
         span_ms: 33_000.0,
         waves: vec![
             vec![0.37, 1.3, 2.8],
@@ -97,5 +99,7 @@
     long.worth = 29.0;
     long.late_worth = 7.4;
     load.engines = engines;
+    load.slots = 12;
+    load.stride = 57;
     load
 }
