Let the placing daemon stay until it leaves or is lost, and move its followers at once

The log shows a daemon that came back choosing itself to place, since it stood first in the order, while the others went on with the one before; each returned to it by a clock of its own, up to three seconds later. Two placed with half of the picture each, and packed the same engines.

Ruled out: engines (none at fault then), the retry budget (few declines).

Change: a daemon asks those that it meets who places, and follows that one. A placer yields only to one with more processor, or, of two that place, to the one that stands first; it tells its followers where it went, also when it is asked to end, and one that follows another sends on who follows it. Asking alone does not count as following. Tests: the rule, and three real daemons of which one is killed and comes back (failed before). The support of the daemon's tests stands in a module of its own.

--- a/crates/daemon/tests/behind_platform.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -1,177 +1,26 @@
 //! The daemon as a real process behind stand-ins of the users' platform.
 
-use std::io::Read;
+mod placing;
+mod support;
+
 use std::io::Write;
 use std::net;
 use std::time::Duration;
-use std::time::Instant;
 
-use fakes::fleet;
-use fakes::process;
 use platform_fakes::endpoint::EndpointScript;
 use platform_fakes::endpoint::StandInEndpoint;
 use platform_fakes::store::StandInStore;
 use platform_fakes::store::StoreMode;
-use serde_json::Value;
 use serde_json::json;
-
-const KEY: &str = "key-1";
-const LOG_FILE: &str = "daemon.log";
-/// Longest time that a test waits for something that comes in milliseconds.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn route(name: &str, kind: &str, resumable: bool) -> Value {
-    json!({"name": name, "host": "x.example", "path_prefix": format!("/{name}/"), "type": kind,
-        "timeout_ms": 10_000, "slo_ms": 300, "gap_slo_ms": 250, "priority": 1, "service": "s",
-        "max_attempts": 2, "public": false, "sticky": true, "resumable": resumable})
-}
-
-fn config(version: u64, routes: &[Value]) -> Value {
-    json!({"version": version, "routes": routes,
-        "services": [{"name": "s", "health_path": "/healthz", "max_conns": 100,
-            "cold_start_s": 0.0, "cold_per_s": 0.0}],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-        "tenants": [{"name": "customer-1", "api_keys": [KEY]}]})
-}
-
-fn usual_routes() -> Vec<Value> {
-    vec![
-        route("safe", "safe", false),
-        route("once", "unsafe", false),
-        route("stream", "stream", true),
-    ]
-}
-
-struct RunningDaemon {
-    process: process::TestProcess,
-    callers: net::SocketAddr,
-    readiness: net::SocketAddr,
-    metrics: net::SocketAddr,
-    files: tempfile::TempDir,
-}
-
-impl Drop for RunningDaemon {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            eprintln!("log of the daemon:\n{}", self.log());
-        }
-    }
-}
-
-impl RunningDaemon {
-    fn start(store: &StandInStore) -> Self {
-        let files = tempfile::tempdir().unwrap();
-        let path = files.path().join("settings.yaml");
-        let [callers, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
-        let text = format!(
-            "host: h1\ndata_centre: a\nlisten: {{ callers: '{callers}', readiness: '{readiness}', \
-             peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n",
-            store.address()
-        );
-        std::fs::write(&path, text).unwrap();
-        let settings = path.display().to_string();
-        let args = ["--behind-platform", "--settings", &settings];
-        let log = files.path().join(LOG_FILE);
-        let daemon = Self {
-            process: process::TestProcess::start("sardinepaddled", args, &log).unwrap(),
-            callers,
-            readiness,
-            metrics,
-            files,
-        };
-        Self::wait_for("its port", || net::TcpStream::connect(callers).is_ok());
-        daemon
-    }
-
-    /// Waits until a check holds.
-    fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
-        let until = Instant::now() + PATIENCE;
-        while !holds() {
-            assert!(Instant::now() < until, "waited in vain for: {what}");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    }
-
-    fn wait_ready(&self) {
-        Self::wait_for("readiness", || {
-            exchange(self.readiness, "GET /-/readyz HTTP/1.1", &[]).status == 200
-        });
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.files.path().join(LOG_FILE)).unwrap_or_default()
-    }
-
-    fn call(&self, line: &str, id: &str) -> SeenAnswer {
-        let key = format!("Authorization: Bearer {KEY}");
-        let id = format!("X-Attempt-Id: {id}");
-        exchange(self.callers, line, &[&key, &id, "X-Deadline-Ms: 8000"])
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct SeenAnswer {
-    status: u16,
-    head: String,
-    body: String,
-    /// Whether the body ended as its framing says.
-    whole: bool,
-}
-
-fn exchange(address: net::SocketAddr, line: &str, headers: &[&str]) -> SeenAnswer {
-    let Ok(mut stream) = net::TcpStream::connect(address) else {
-        return SeenAnswer::default();
-    };
-    let mut text = format!("{line}\r\nHost: x.example\r\nConnection: close\r\n");
-    for header in headers {
-        text.push_str(header);
-        text.push_str("\r\n");
-    }
-    text.push_str("\r\n");
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(text.as_bytes()).unwrap();
-    let mut bytes = Vec::new();
-    // A connection that breaks leaves what came before.
-    let _ = stream.read_to_end(&mut bytes);
-    read_answer(&String::from_utf8_lossy(&bytes))
-}
-
-fn read_answer(text: &str) -> SeenAnswer {
-    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
-        return SeenAnswer::default();
-    };
-    let status = head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok());
-    let head = head.to_ascii_lowercase();
-    let mut answer = SeenAnswer {
-        status: status.unwrap_or_default(),
-        head,
-        ..SeenAnswer::default()
-    };
-    if answer.head.contains("transfer-encoding: chunked") {
-        let mut rest = rest;
-        while let Some((size, tail)) = rest.split_once("\r\n") {
-            let Ok(size) = usize::from_str_radix(size, 16) else {
-                break;
-            };
-            answer.whole = size == 0;
-            let Some(chunk) = tail.get(..size) else {
-                break;
-            };
-            answer.body.push_str(chunk);
-            rest = tail.get(size + 2..).unwrap_or_default();
-        }
-    } else {
-        answer.body = rest.to_owned();
-        answer.whole = answer
-            .head
-            .contains(&format!("content-length: {}", rest.len()));
-    }
-    answer
-}
+use support::KEY;
+use support::PATIENCE;
+use support::RunningDaemon;
+use support::config;
+use support::deployment;
+use support::endpoints;
+use support::exchange;
+use support::route;
+use support::usual_routes;
 
 fn whole_events(last: u64) -> String {
     (1..=last)
@@ -179,32 +28,6 @@
         .collect()
 }
 
-async fn endpoints(store: &StandInStore, scripts: &[EndpointScript]) -> Vec<StandInEndpoint> {
-    let mut started = Vec::new();
-    for (index, script) in scripts.iter().enumerate() {
-        let endpoint = StandInEndpoint::start(&format!("e{index}"), *script).await;
-        store.put("servers", &endpoint.id, endpoint.entry("s", "ready"));
-        started.push(endpoint);
-    }
-    started
-}
-
-/// A store with the usual routes, endpoints, and a daemon that is ready.
-async fn deployment(
-    scripts: &[EndpointScript],
-) -> (StandInStore, Vec<StandInEndpoint>, RunningDaemon) {
-    let store = StandInStore::start().await;
-    store.put("config", "main", config(1, &usual_routes()));
-    let endpoints = endpoints(&store, scripts).await;
-    let daemon = RunningDaemon::start(&store);
-    daemon.wait_ready();
-    RunningDaemon::wait_for("endpoints", || {
-        daemon.call("GET /nowhere/ HTTP/1.1", "probe").status == 404
-            && exchange(daemon.metrics, "GET /metrics HTTP/1.1", &[]).status == 200
-    });
-    (store, endpoints, daemon)
-}
-
 fn arrivals(endpoints: &[StandInEndpoint]) -> usize {
     endpoints.iter().map(|endpoint| endpoint.seen().len()).sum()
 }
@@ -344,7 +167,7 @@
     store.put("evacuations", "elsewhere", json!({}));
     store.put("config", "main", config(1, &usual_routes()));
     endpoints(&store, &[EndpointScript::Answer]).await;
-    let daemon = RunningDaemon::start(&store);
+    let daemon = RunningDaemon::start(&store, "h1");
     daemon.wait_ready();
     RunningDaemon::wait_for("an answer", || {
         daemon.call("GET /safe/ HTTP/1.1", "r1").status == 200
@@ -490,7 +313,7 @@
 async fn without_a_configuration_the_daemon_is_not_ready_and_refuses() {
     let store = StandInStore::start().await;
     store.set_mode(StoreMode::Silent);
-    let daemon = RunningDaemon::start(&store);
+    let daemon = RunningDaemon::start(&store, "h1");
     RunningDaemon::wait_for("an answer", || {
         exchange(daemon.readiness, "GET /-/readyz HTTP/1.1", &[]).status == 503
     });
@@ -508,7 +331,7 @@
         store.put("config", "main", config(1, &usual_routes()));
         endpoints(&store, &[EndpointScript::Answer]).await;
         store.withhold(Some(kind));
-        let daemon = RunningDaemon::start(&store);
+        let daemon = RunningDaemon::start(&store, "h1");
         std::thread::sleep(Duration::from_millis(500));
         let readiness = exchange(daemon.readiness, "GET /-/readyz HTTP/1.1", &[]);
         assert_eq!(readiness.status, 503, "without {kind}");
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -47,6 +47,17 @@
         outbox.is_some_and(|outbox| outbox.send(message).is_ok())
     }
 
+    /// Sends to all connected daemons.
+    pub fn send_all(&self, message: &M)
+    where
+        M: Clone,
+    {
+        for outbox in self.outboxes.values() {
+            // One that has just gone needs no word.
+            let _ = outbox.send(message.clone());
+        }
+    }
+
     /// Whether no daemon is connected.
     pub fn is_empty(&self) -> bool {
         self.outboxes.is_empty()
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -26,6 +26,8 @@
 /// Time that a connection to another daemon may take: some times the longest way between data
 /// centres.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which a daemon that follows says so: some times the way of what it tells before.
+const FIRST_WORD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two signs of life.
 const BEAT_PERIOD: Duration = Duration::from_millis(300);
 /// Silence after which the daemon that places counts as lost, ms: three signs of life.
@@ -34,7 +36,13 @@
 const FOLLOWER_SILENCE_MS: f64 = 2_500.0;
 /// Time between two looks at whether another daemon should place.
 const CHOICE_PERIOD: Duration = Duration::from_millis(250);
-
+/// Time between two looks of the daemon that places at those before it, ms: two that place at once
+/// each know half of the work.
+const COMPARE_MS: f64 = 1_000.0;
+/// Daemons that it asks in one look.
+const MOST_COMPARED: usize = 8;
+/// Daemons that one without a placer asks who places, at least.
+const MOST_ASKED: usize = 3;
 /// Time for further news to come along before they are looked at.
 const NEWS_PAUSE: Duration = Duration::from_millis(25);
 
@@ -59,6 +67,21 @@
 
 type Result<T> = std::result::Result<T, LinkError>;
 
+/// What another daemon says of itself.
+struct DaemonGreeting {
+    host: ids::HostId,
+    life: u64,
+    state: PlacerState,
+    /// The daemon that places its requests.
+    placer: Option<ids::HostId>,
+}
+
+impl DaemonGreeting {
+    fn places_for_others(&self) -> bool {
+        self.placer.as_ref() == Some(&self.host)
+    }
+}
+
 /// Sends and receives messages on one connection.
 struct DaemonLink {
     world: rc::Rc<world::DaemonWorld>,
@@ -169,16 +192,27 @@
         }
     }
 
-    async fn greet(&mut self) -> Result<(ids::HostId, u64, PlacerState)> {
+    async fn greet(&mut self) -> Result<DaemonGreeting> {
         let hello = LinkMessage::Hello {
             host: self.world.settings().host.clone(),
             life: self.world.life,
             state: self.world.placer_state(),
+            placer: self.world.placed_by(),
         };
         self.send(&hello).await?;
         let reply = time::timeout(DIAL_TIMEOUT, self.receive()).await;
         match reply.map_err(|_| LinkError::Silent)?? {
-            LinkMessage::Hello { host, life, state } => Ok((host, life, state)),
+            LinkMessage::Hello {
+                host,
+                life,
+                state,
+                placer,
+            } => Ok(DaemonGreeting {
+                host,
+                life,
+                state,
+                placer,
+            }),
             _ => Err(LinkError::Closed),
         }
     }
@@ -195,11 +229,19 @@
 
     /// Serves a daemon that follows, until it is gone.
     async fn serve_follower(mut self) -> Result<()> {
-        let (host, life, _) = self.greet().await?;
+        let DaemonGreeting { host, life, .. } = self.greet().await?;
+        self.world.rank.borrow_mut().heard(&host);
+        // One that only asked who places says nothing more.
+        let first = time::timeout(FIRST_WORD_TIMEOUT, self.receive_other(&host));
+        let first = first.await.map_err(|_| LinkError::Silent)??;
         let (sender, mut outbox) = mpsc::unbounded_channel();
         self.world.add_follower(life, sender.clone());
         log::info!(target: "sardinepaddle", daemon:% = host, life; "daemon connected");
-        let end = self.follower_loop(life, &host, &mut outbox).await;
+        if let Some(placer) = self.world.placed_elsewhere() {
+            // Sent behind what is known of the daemons, and so of that one.
+            let _ = sender.send(LinkMessage::Moved { placer });
+        }
+        let end = self.follower_loop(life, &host, first, &mut outbox).await;
         self.world.drop_follower(&host, life, &sender);
         if let Err(error) = &end {
             log::info!(target: "sardinepaddle", daemon:% = host, life, error:% = error;
@@ -212,22 +254,18 @@
         &mut self,
         life: u64,
         host: &ids::HostId,
+        first: LinkMessage,
         outbox: &mut mpsc::UnboundedReceiver<LinkMessage>,
     ) -> Result<()> {
         let mut changes = self.world.changes();
+        self.on_follower_message(life, host, first).await?;
         self.send_changes().await?;
         let mut checks = time::interval(BEAT_PERIOD);
         loop {
             tokio::select! {
-                message = self.receive_other(host) => match message? {
-                    LinkMessage::Beat { ages_ms, sighted, .. } => {
-                        self.world.note_ages(&ages_ms);
-                        let follow = self.world.choose_follower(host, sighted);
-                        let beat = self.beat(follow);
-                        self.send(&beat).await?;
-                    }
-                    message => self.world.on_follower_message(life, message),
-                },
+                message = self.receive_other(host) => {
+                    self.on_follower_message(life, host, message?).await?;
+                }
                 Some(message) = outbox.recv() => self.send(&message).await?,
                 _ = changes.changed() => self.send_changes().await?,
                 _ = checks.tick() => {
@@ -239,6 +277,25 @@
         }
     }
 
+    async fn on_follower_message(
+        &mut self,
+        life: u64,
+        host: &ids::HostId,
+        message: LinkMessage,
+    ) -> Result<()> {
+        let LinkMessage::Beat {
+            ages_ms, sighted, ..
+        } = message
+        else {
+            self.world.on_follower_message(life, message);
+            return Ok(());
+        };
+        self.world.note_ages(&ages_ms);
+        let follow = self.world.choose_follower(host, sighted);
+        let beat = self.beat(follow);
+        self.send(&beat).await
+    }
+
     /// Follows the daemon that places, until it is lost.
     async fn follow(&mut self, host: &ids::HostId, leaving: &cell::Cell<bool>) -> Result<()> {
         let (sender, mut outbox) = mpsc::unbounded_channel();
@@ -312,8 +369,22 @@
 pub(crate) async fn follow_placer(world: rc::Rc<world::DaemonWorld>) {
     let mut following: Option<Following> = None;
     let mut changes = world.changes();
+    let mut compared_at = world.now();
     loop {
-        match choose(&world, following.as_ref()).await {
+        let choice = match (&following, world.take_move()) {
+            (Some(current), Some(placer)) if current.host != placer => go_to(&world, placer).await,
+            (Some(current), _) if !current.leaving.get() => PlacerChoice::Unchanged,
+            (None, _) if world.places_for_others() && world.is_ready() => {
+                if world.now() - compared_at < COMPARE_MS {
+                    PlacerChoice::Unchanged
+                } else {
+                    compared_at = world.now();
+                    compare(&world).await
+                }
+            }
+            _ => choose(&world, following.as_ref()).await,
+        };
+        match choice {
             PlacerChoice::Unchanged => {}
             PlacerChoice::Own => {
                 if following.take().is_some() {
@@ -323,6 +394,7 @@
             PlacerChoice::Other(link, host) => {
                 let leaving = rc::Rc::new(cell::Cell::new(false));
                 let task = task::spawn_local(keep(link, host.clone(), leaving.clone()));
+                world.send_followers_to(&host);
                 following = Some(Following {
                     host,
                     leaving,
@@ -335,6 +407,7 @@
                 () = time::sleep(CHOICE_PERIOD) => {}
                 // A new list of daemons may name another one.
                 _ = changes.changed() => time::sleep(NEWS_PAUSE).await,
+                () = world.placer_moves() => {}
             }
         };
         match following.as_mut() {
@@ -348,14 +421,11 @@
     }
 }
 
-/// Daemons to try, best first: those before the one that places now, or all if it is leaving.
-fn candidates(
-    world: &world::DaemonWorld,
-    following: Option<&Following>,
-) -> Vec<(ids::HostId, net::SocketAddr)> {
+/// Daemons that may place, best first.
+fn candidates(world: &world::DaemonWorld) -> Vec<(ids::HostId, net::SocketAddr)> {
     let settings = world.settings();
     let rank = world.rank.borrow();
-    if rank.daemons().is_empty() && following.is_none() {
+    if rank.daemons().is_empty() {
         // Nothing is known of the store: a seed may know more.
         let seeds = settings.seeds.iter().copied();
         let others = seeds.filter(|seed| *seed != settings.listen.peers);
@@ -364,61 +434,147 @@
             .collect();
     }
     let now = world.now();
-    let stays = following.filter(|current| !current.leaving.get());
     let open = rank
         .daemons()
         .iter()
         .filter(|daemon| !rank.is_passed(&daemon.host, now));
-    open.take_while(|daemon| stays.is_none_or(|current| current.host != daemon.host))
-        .filter(|daemon| following.is_none_or(|current| current.host != daemon.host))
-        .map(|daemon| (daemon.host.clone(), daemon.address))
+    open.map(|daemon| (daemon.host.clone(), daemon.address))
         .collect()
 }
 
+fn address_of(world: &world::DaemonWorld, host: &ids::HostId) -> Option<net::SocketAddr> {
+    let rank = world.rank.borrow();
+    let mut daemons = rank.daemons().iter();
+    let daemon = daemons.find(|daemon| daemon.host == *host);
+    daemon.map(|daemon| daemon.address)
+}
+
+/// Follows this daemon's placer to where it moved.
+async fn go_to(world: &rc::Rc<world::DaemonWorld>, placer: ids::HostId) -> PlacerChoice {
+    if placer == world.settings().host {
+        return match world.is_ready() {
+            true => PlacerChoice::Own,
+            false => PlacerChoice::Unchanged,
+        };
+    }
+    let Some(address) = address_of(world, &placer) else {
+        log::info!(target: "sardinepaddle", placer:% = placer; "placing daemon not listed yet");
+        return PlacerChoice::Unchanged;
+    };
+    match ask(world, &placer, address).await {
+        Some((link, greeting)) if greeting.state == PlacerState::Placing => {
+            PlacerChoice::Other(Box::new(link), greeting.host)
+        }
+        _ => PlacerChoice::Unchanged,
+    }
+}
+
+/// Looks, while this daemon places for others, whether one of those before it is to do so.
+async fn compare(world: &rc::Rc<world::DaemonWorld>) -> PlacerChoice {
+    let own = world.settings().host.clone();
+    let before = candidates(world);
+    let before = before.into_iter().take_while(|(host, _)| *host != own);
+    for (host, address) in before.take(MOST_COMPARED) {
+        let Some((link, greeting)) = ask(world, &host, address).await else {
+            continue;
+        };
+        let places = greeting.places_for_others();
+        let yields = world.rank.borrow().is_to_yield(&own, &host, places);
+        if yields && greeting.state == PlacerState::Placing {
+            return PlacerChoice::Other(Box::new(link), greeting.host);
+        }
+    }
+    PlacerChoice::Unchanged
+}
+
+/// Looks for a daemon to place this one's requests: the one that places for those that are asked,
+/// or else the first that can.
 async fn choose(world: &rc::Rc<world::DaemonWorld>, following: Option<&Following>) -> PlacerChoice {
     let own = world.settings().host.clone();
+    let current = following.map(|current| &current.host);
+    let mut own_is_next = false;
+    let mut asked = 0;
+    let mut first = None;
     let mut last_resort = None;
-    for (host, address) in candidates(world, following) {
+    for (host, address) in candidates(world) {
+        if Some(&host) == current {
+            continue;
+        }
         if host == own {
-            if world.is_ready() {
-                return PlacerChoice::Own;
-            }
+            own_is_next = world.is_ready() && first.is_none();
+            continue;
+        }
+        let Some((link, greeting)) = ask(world, &host, address).await else {
             continue;
+        };
+        asked += 1;
+        let elsewhere = greeting.placer.as_ref();
+        let elsewhere = elsewhere.filter(|placer| **placer != own && Some(*placer) != current);
+        let named = elsewhere
+            .filter(|placer| **placer != greeting.host)
+            .cloned();
+        if let Some(placer) = named {
+            let moved = go_to(world, placer).await;
+            if !matches!(moved, PlacerChoice::Unchanged) {
+                return moved;
+            }
         }
-        let error = match dial(world, address).await {
-            Ok((link, host, PlacerState::Placing)) => {
-                return PlacerChoice::Other(Box::new(link), host);
+        match greeting.state {
+            PlacerState::Placing if greeting.places_for_others() => {
+                return PlacerChoice::Other(Box::new(link), greeting.host);
             }
-            Ok((link, host, PlacerState::Leaving)) => {
-                last_resort.get_or_insert((link, host));
-                None
+            PlacerState::Placing => {
+                first.get_or_insert((link, greeting.host));
             }
-            Ok((_, _, PlacerState::Unready)) => Some(LinkError::Unready),
-            Err(error) => Some(error),
-        };
-        if let Some(error) = error {
-            log::info!(target: "sardinepaddle", daemon:% = host, error:% = error;
-                "daemon not reached");
+            PlacerState::Leaving => {
+                last_resort.get_or_insert((link, greeting.host));
+            }
+            PlacerState::Unready => {}
         }
-        world.rank.borrow_mut().pass_over(&host, world.now());
-    }
-    match last_resort {
-        Some((link, host)) if following.is_none() && !world.is_ready() => {
-            PlacerChoice::Other(Box::new(link), host)
+        if asked >= MOST_ASKED && (own_is_next || first.is_some()) {
+            break;
         }
-        _ => PlacerChoice::Unchanged,
     }
+    if own_is_next {
+        return PlacerChoice::Own;
+    }
+    let last_resort = last_resort.filter(|_| following.is_none() && !world.is_ready());
+    match first.or(last_resort) {
+        Some((link, host)) => PlacerChoice::Other(Box::new(link), host),
+        None => PlacerChoice::Unchanged,
+    }
+}
+
+/// Dials a daemon for its greeting; one that gives none, or can't place, is passed over for a while.
+async fn ask(
+    world: &rc::Rc<world::DaemonWorld>,
+    host: &ids::HostId,
+    address: net::SocketAddr,
+) -> Option<(DaemonLink, DaemonGreeting)> {
+    let error = match dial(world, address).await {
+        Ok((link, greeting)) if greeting.state != PlacerState::Unready => {
+            if greeting.state == PlacerState::Leaving {
+                world.rank.borrow_mut().pass_over(host, world.now());
+            }
+            return Some((link, greeting));
+        }
+        Ok(_) => LinkError::Unready,
+        Err(error) => error,
+    };
+    log::info!(target: "sardinepaddle", daemon:% = host, error:% = error; "daemon not reached");
+    world.rank.borrow_mut().pass_over(host, world.now());
+    None
 }
 
 async fn dial(
     world: &rc::Rc<world::DaemonWorld>,
     address: net::SocketAddr,
-) -> Result<(DaemonLink, ids::HostId, PlacerState)> {
+) -> Result<(DaemonLink, DaemonGreeting)> {
     let stream = sockets::dial(address, DIAL_TIMEOUT).await;
     let stream = stream.map_err(LinkError::Dial)?;
     let mut link = DaemonLink::new(world, stream)?;
-    let (host, _, state) = link.greet().await?;
-    Ok((link, host, state))
+    let greeting = link.greet().await?;
+    Ok((link, greeting))
 }
 
 /// Follows over a connection; when it is lost, this daemon places for itself until the next.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -32,6 +32,13 @@
         life: u64,
         /// Whether it can place requests.
         state: PlacerState,
+        /// The daemon that places its requests; itself if it places for others, none if it is alone.
+        placer: Option<ids::HostId>,
+    },
+    /// The sender's requests are placed by another daemon from now on, and so should the receiver's.
+    Moved {
+        /// That daemon.
+        placer: ids::HostId,
     },
     /// Objects of the store.
     Objects(Vec<replica::ReplicaObject>),
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -81,6 +81,9 @@
     /// Connected followers, and whether they reach the store.
     sights: cell::RefCell<map::HashMap<ids::HostId, bool>>,
     told_to_follow: cell::Cell<bool>,
+    /// The daemon to which this one's placer moved, until it is looked at.
+    moved: cell::RefCell<Option<ids::HostId>>,
+    moves: tokio::sync::Notify,
     next_job: cell::Cell<u64>,
     pub active: cell::Cell<usize>,
 }
@@ -118,6 +121,8 @@
             blind: cell::RefCell::default(),
             sights: cell::RefCell::default(),
             told_to_follow: cell::Cell::new(false),
+            moved: cell::RefCell::default(),
+            moves: tokio::sync::Notify::new(),
             next_job: cell::Cell::new(0),
             active: cell::Cell::new(0),
         }
@@ -271,6 +276,45 @@
         self.told_to_follow.set(follow);
     }
 
+    /// The daemon that places this one's requests, as others are told; see
+    /// [`message::LinkMessage::Hello`].
+    pub fn placed_by(&self) -> Option<ids::HostId> {
+        match &*self.role.borrow() {
+            PlacerRole::Remote { host, .. } => Some(host.clone()),
+            PlacerRole::Own => self
+                .places_for_others()
+                .then(|| self.settings().host.clone()),
+        }
+    }
+
+    /// The daemon that places this one's requests, if it is another one.
+    pub fn placed_elsewhere(&self) -> Option<ids::HostId> {
+        let own = &self.settings().host;
+        self.placed_by().filter(|placer| placer != own)
+    }
+
+    /// Whether daemons are connected whose requests this one places.
+    pub fn places_for_others(&self) -> bool {
+        !self.followers.borrow().is_empty()
+    }
+
+    /// Tells the followers that another daemon places from now on.
+    pub fn send_followers_to(&self, placer: &ids::HostId) {
+        let placer = placer.clone();
+        let moved = message::LinkMessage::Moved { placer };
+        self.followers.borrow().send_all(&moved);
+    }
+
+    /// Waits until this daemon's placer moves.
+    pub async fn placer_moves(&self) {
+        self.moves.notified().await;
+    }
+
+    /// Where this daemon's placer moved since the last call.
+    pub fn take_move(&self) -> Option<ids::HostId> {
+        self.moved.borrow_mut().take()
+    }
+
     /// A follower told whether it reaches the store; says whether it is to follow it for others.
     pub fn choose_follower(&self, host: &ids::HostId, sighted: bool) -> bool {
         let mut sights = self.sights.borrow_mut();
@@ -501,6 +545,12 @@
                 }
             }
             message::LinkMessage::Verdict { job, verdict } => self.resolve(job, verdict),
+            message::LinkMessage::Moved { placer } => {
+                log::info!(target: "sardinepaddle", placer:% = placer; "placing daemon moved");
+                self.rank.borrow_mut().heard(&placer);
+                *self.moved.borrow_mut() = Some(placer);
+                self.moves.notify_one();
+            }
             _ => log::warn!(target: "sardinepaddle",
                 "message dropped: not one of a placing daemon"),
         }
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -68,6 +68,19 @@
         daemons.find(|daemon| !self.is_passed(&daemon.host, now))
     }
 
+    /// Whether the daemon `own`, which places for others, is to let `other` do so: it has more
+    /// processor, or it places for others too and stands before `own`. A placer that is as good
+    /// stays, since each change loses what was foretold of running work.
+    pub fn is_to_yield(&self, own: &ids::HostId, other: &ids::HostId, other_places: bool) -> bool {
+        let position =
+            |host: &ids::HostId| self.daemons.iter().position(|daemon| daemon.host == *host);
+        let (Some(own), Some(other)) = (position(own), position(other)) else {
+            return false;
+        };
+        let more = self.daemons[other].cpu_millis > self.daemons[own].cpu_millis;
+        more || (other_places && other < own)
+    }
+
     /// The daemon that follows the store beside the one that places: the first that `fits`, in
     /// another data centre if there is one.
     pub fn second_follower(
--- a/crates/pool/tests/rank.rs
+++ b/crates/pool/tests/rank.rs
@@ -64,3 +64,29 @@
         "b1"
     );
 }
+
+// Each daemon went back to the first of the order by a clock of its own: while daemons were stopped in
+// turn, two placed at once for up to three seconds at each return, each with half of the picture
+// (zaatar-amman trouble-2).
+#[test]
+fn a_placer_stays_unless_another_has_more_processor() {
+    let daemons = three_daemons();
+    let [a1, a2, b1] = ["a1", "a2", "b1"].map(ids::HostId::new);
+    for own in [&a1, &a2] {
+        assert!(daemons.is_to_yield(own, &b1, false));
+        assert!(!daemons.is_to_yield(&b1, own, true));
+    }
+    assert!(!daemons.is_to_yield(&a1, &a2, false));
+    assert!(!daemons.is_to_yield(&a2, &a1, false));
+}
+
+#[test]
+fn of_two_that_place_one_yields() {
+    let daemons = three_daemons();
+    let [a1, a2] = ["a1", "a2"].map(ids::HostId::new);
+    let yields = [
+        daemons.is_to_yield(&a1, &a2, true),
+        daemons.is_to_yield(&a2, &a1, true),
+    ];
+    assert_eq!(yields.iter().filter(|yields| **yields).count(), 1);
+}
