Advise callers to come back later while the store is away

Change: a daemon that has looked at the store in vain, or runs for longer than a start takes, says three seconds; one that starts says half a second as before. Test: the header while the stand-in store is away (failed before).

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -322,6 +322,23 @@
     assert!(answer.head.contains("retry-after: "));
 }
 
+// Callers that come back once were told half a second while the store stayed away for longer, and were
+// refused again (zaatar-amman trouble-3: 394 units of worth).
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_to_come_back_later_while_the_store_is_away() {
+    let store = StandInStore::start().await;
+    store.set_mode(StoreMode::Busy);
+    let daemon = RunningDaemon::start(&store, "h1");
+    let advice = || {
+        let answer = daemon.call("GET /safe/ HTTP/1.1", "r1");
+        assert_eq!(answer.status, 503);
+        let (_, rest) = answer.head.split_once("retry-after: ").unwrap();
+        let value = rest.split_whitespace().next().unwrap();
+        value.parse::<f64>().unwrap()
+    };
+    RunningDaemon::wait_for("longer advice", || advice() >= 2.0);
+}
+
 // CI, 4 Dec: a request right after readiness was refused, as the list of endpoints came later than
 // the configuration.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -10,9 +10,6 @@
 
 use crate::relay;
 
-/// Advice on when to come back to a daemon that has just started, ms: it knows the store by then.
-const NOT_READY_RETRY_MS: u64 = 500;
-
 /// Body of an answer to a caller.
 pub(crate) type AnswerBody = pin::Pin<Box<dyn Body<Data = Bytes, Error = relay::RelayError>>>;
 
@@ -20,7 +17,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OwnAnswer {
     /// Too little of the store is known yet.
-    NotReady,
+    NotReady { retry_after_ms: u64 },
     /// No route fits.
     NoRoute,
     /// The key is missing or unknown.
@@ -46,7 +43,7 @@
     /// Name in logs and metrics.
     pub fn reason(self) -> &'static str {
         match self {
-            Self::NotReady => "not_ready",
+            Self::NotReady { .. } => "not_ready",
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
             Self::BodyTooLarge => "body_too_large",
@@ -60,7 +57,7 @@
 
     fn status(self) -> http::StatusCode {
         match self {
-            Self::NotReady | Self::NotRun { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady { .. } | Self::NotRun { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
             Self::BadKey => http::StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
@@ -73,8 +70,9 @@
 
     fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_MS),
-            Self::NotRun { retry_after_ms, .. } => Some(retry_after_ms),
+            Self::NotReady { retry_after_ms } | Self::NotRun { retry_after_ms, .. } => {
+                Some(retry_after_ms)
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,6 +28,11 @@
 const EXPECTED_TOKEN_MS: f64 = 1.6;
 /// Advice on when to come back to another daemon, ms.
 const ELSEWHERE_RETRY_MS: u64 = 50;
+/// Advice on when to come back to a daemon that has just started, ms: it knows the store by then.
+const STARTING_RETRY_MS: u64 = 500;
+/// Advice while the store is away, ms: outages last some seconds, callers come back once or twice, and
+/// wait a third of their time at most.
+const STORE_AWAY_RETRY_MS: u64 = 3_000;
 /// Least size of the buffer for a request head that the HTTP library takes.
 const LEAST_BUFFER: usize = 8_192;
 
@@ -98,6 +103,15 @@
     first + answer as f64 * EXPECTED_TOKEN_MS
 }
 
+/// When the daemon is likely to know enough of the store, ms.
+fn not_ready_retry_ms(world: &world::DaemonWorld) -> u64 {
+    let starting = world.now() < STARTING_RETRY_MS as f64;
+    match starting && world.is_sighted() {
+        true => STARTING_RETRY_MS,
+        false => STORE_AWAY_RETRY_MS,
+    }
+}
+
 /// Reads a request whole and finds its route.
 async fn read(
     port: &CallerPort,
@@ -117,7 +131,8 @@
         own
     };
     if !world.is_informed() {
-        return Err(refuse(answer::OwnAnswer::NotReady));
+        let retry_after_ms = not_ready_retry_ms(&world);
+        return Err(refuse(answer::OwnAnswer::NotReady { retry_after_ms }));
     }
     let index = world.index();
     let host = parts.headers.get(http::header::HOST);
