Let the daemon that places follow the store also when it is not the first of the order

Cause: since a placer stays, the one that places need not stand first in the order; whether to follow the store still went by the order.

Change: one that places for others follows. Test: a placer that is not the first calls the store (failed before).

--- a/crates/daemon/tests/behind_platform/placing.rs
+++ b/crates/daemon/tests/behind_platform/placing.rs
@@ -9,6 +9,9 @@
 /// Time in which a daemon that wants to place would have taken over: looks come each second at least.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Calls that tell one that follows the store from one that is told of it.
+const LEADING_CALLS: u64 = 5;
+
 /// The daemon that places for another one, by its log since the start of a line.
 fn placer(daemon: &RunningDaemon, since: usize) -> Option<String> {
     let log = daemon.log();
@@ -56,4 +59,23 @@
     let other = 3 - lost - next;
     assert_eq!(placer(&daemons[lost], since).as_deref(), Some(names[next]));
     assert_eq!(placer(&daemons[other], 0).as_deref(), Some(names[next]));
+
+    // It follows the store for all, though it is not the first of the order (hunt on
+    // bluemahoe-stockdesk, endpoints_at_fault, seed 806390637886: DRAIN).
+    let before = store_calls(&daemons[next]);
+    RunningDaemon::wait_for("calls to the store", || {
+        store_calls(&daemons[next]) >= before + LEADING_CALLS
+    });
+}
+
+/// Calls to the store that a daemon made about endpoints.
+fn store_calls(daemon: &RunningDaemon) -> u64 {
+    let answer = support::exchange(daemon.metrics, "GET /metrics HTTP/1.1", &[]);
+    let lines = answer.body.lines().filter(|line| {
+        line.contains("store_calls")
+            && line.contains(r#"kind="endpoints""#)
+            && !line.starts_with('#')
+    });
+    let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    counts.sum::<f64>() as u64
 }
--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -265,6 +265,7 @@
     /// Whether this daemon is to follow the store for others: the one that places is.
     pub fn leads(&self) -> bool {
         match &*self.role.borrow() {
+            PlacerRole::Own if self.places_for_others() => true,
             PlacerRole::Own => {
                 let rank = self.rank.borrow();
                 let placer = rank.placer(self.now());
