End a process only once nothing has come for three ticks

Cause: once its last request was over, a process that had been asked to end waited two more ticks for the last bytes to leave and then ended, whatever had come in those 40 ms.

Change: three ticks in a row without a request, and the end follows the last look at once.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -287,6 +287,29 @@
     assert!(daemon.process.wait(PATIENCE).await.unwrap().success());
 }
 
+// Seen in a hunt (bluemahoe-stockdesk, mix, seed 740610639375: LOST): the process ended a moment after it
+// had nothing to do, whatever came within that moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_come_until_the_process_is_gone_are_answered() {
+    let script = EndpointScript::Pause {
+        after: 1,
+        pause_ms: 15,
+        last: 2,
+    };
+    let (_store, endpoints, mut daemon) = deployment(&[script]).await;
+    daemon.process.terminate();
+    let mut answers = Vec::new();
+    while !daemon.process.has_ended() {
+        let answer = daemon.call("POST /stream/ HTTP/1.1", &format!("r{}", answers.len()));
+        answers.push(answer);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let whole = answers
+        .iter()
+        .filter(|answer| answer.whole && answer.status == 200);
+    assert_eq!(whole.count(), arrivals(&endpoints));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_its_run() {
     let script = EndpointScript::Pause {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,6 +25,9 @@
 
 /// Time between two looks at what waits for a place.
 const TICK_PERIOD: Duration = Duration::from_millis(20);
+/// Ticks without a request after which a process that is asked to end does: some times what the last
+/// bytes of an answer need.
+const QUIET_TICKS: u32 = 3;
 /// Time between two sweeps of what was forgotten.
 const SWEEP_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after SIGTERM for which kept connections go on as before: the balancer notices within two
@@ -171,10 +174,14 @@
         "daemon leaves");
     time::sleep(NOTICE_TIME.min(grace / 2)).await;
     close.send_replace(true);
-    while world.active.get() > 0 && time::Instant::now() < end {
+    // What was written last is still on its way out of the process, and requests may yet come.
+    let mut quiet = 0;
+    while quiet < QUIET_TICKS && time::Instant::now() < end {
         time::sleep(TICK_PERIOD).await;
+        quiet = match world.active.get() {
+            0 => quiet + 1,
+            _ => 0,
+        };
     }
-    // What was written last is still on its way out of the process.
-    time::sleep(TICK_PERIOD * 2).await;
     log::info!(target: "sardinepaddle", active = world.active.get(); "daemon stopped");
 }
