--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -1,6 +1,8 @@
 //! Runs the daemon as a real process with fakes of the users' platform.
 
+mod endpoint_notices;
 mod placer_selection;
+mod store_return;
 mod support;
 
 use std::io::Write;
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -61,13 +61,18 @@
 impl RunningDaemon {
     /// Starts the daemon of a host and waits until it accepts connections.
     pub fn start(store: &FakeObjectStore, host: &str) -> Self {
+        Self::start_with_store(store.address(), host)
+    }
+
+    /// Starts the daemon of a host that reaches the store at an address.
+    pub fn start_with_store(store: net::SocketAddr, host: &str) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
         let text = format!(
             "host: {host}\ndata_centre: a\nlisten: {{ callers: '{clients}', readiness: '{readiness}', \
              peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n",
-            store.address()
+            store
         );
         std::fs::write(&path, text).unwrap();
         let daemon = Self {
@@ -111,6 +116,14 @@
         });
     }
 
+    /// Waits until at least `count` of the daemons follow another one.
+    pub fn wait_for_followers(daemons: &[&Self], count: usize) {
+        let followers = |daemon: &&Self| daemon.log().matches("daemon connected").count();
+        Self::wait_for("the followers", || {
+            daemons.iter().map(followers).sum::<usize>() >= count
+        });
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.files.path().join(LOG_FILE)).unwrap_or_default()
     }
--- a/crates/gateway/src/compression.rs
+++ b/crates/gateway/src/compression.rs
@@ -50,9 +50,9 @@
 /// Latest revisions of large objects and their compressed forms.
 #[derive(Debug, Default)]
 pub(crate) struct RevisionHistory {
-    contents: map::HashMap<ObjectKey, collections::VecDeque<(u64, Bytes)>>,
-    /// Compressed forms by object, base revision (zero for none) and revision.
-    compressed: map::HashMap<(ObjectKey, u64, u64), Bytes>,
+    contents: map::HashMap<ObjectKey, collections::VecDeque<(replica::ObjectStamp, Bytes)>>,
+    /// Compressed forms by object, base revision (zero for none) and stamp.
+    compressed: map::HashMap<(ObjectKey, u64, replica::ObjectStamp), Bytes>,
 }
 
 impl RevisionHistory {
@@ -67,42 +67,40 @@
         };
         let key = (object.kind, object.name.clone());
         let contents = self.contents.entry(key.clone()).or_default();
-        if contents
-            .iter()
-            .any(|(revision, _)| *revision == object.revision)
-        {
+        if contents.iter().any(|(stamp, _)| *stamp == object.stamp()) {
             return;
         }
-        contents.push_back((object.revision, spec.clone()));
+        contents.push_back((object.stamp(), spec.clone()));
         if contents.len() > MAX_REVISIONS {
             contents.pop_front();
         }
         self.compressed
-            .retain(|(other, _, revision), _| *other != key || *revision == object.revision);
+            .retain(|(other, _, stamp), _| *other != key || *stamp == object.stamp());
     }
 
     /// Returns the content of an object at a revision.
-    pub fn content(&self, kind: u8, name: &str, revision: u64) -> Option<&Bytes> {
+    pub fn content(&self, kind: u8, name: &str, stamp: replica::ObjectStamp) -> Option<&Bytes> {
         let contents = self.contents.get(&(kind, name.to_owned()))?;
-        let found = contents.iter().find(|(other, _)| *other == revision);
+        let found = contents.iter().find(|(other, _)| *other == stamp);
         found.map(|(_, content)| content)
     }
 
-    /// Returns the compressed form of an object for a daemon that has its revision `base`, preceded
-    /// by the revision used as dictionary, zero for none.
+    /// Returns the compressed form of an object for a daemon that has its change `base`, preceded by
+    /// the revision used as dictionary, zero for none. A change of another era is not used.
     pub fn compress(
         &mut self,
         object: &replica::ReplicaObject,
-        base: Option<u64>,
+        base: Option<replica::ObjectStamp>,
     ) -> io::Result<(u64, Bytes)> {
         let spec = object.spec.clone().unwrap_or_default();
-        let base = base.and_then(|revision| {
-            let content = self.content(object.kind, &object.name, revision)?;
-            Some((revision, content.clone()))
+        let base = base.filter(|base| base.era == object.era);
+        let base = base.and_then(|base| {
+            let content = self.content(object.kind, &object.name, base)?;
+            Some((base.revision, content.clone()))
         });
         let base_revision = base.as_ref().map_or(0, |(revision, _)| *revision);
         let key = (object.kind, object.name.clone());
-        let key = (key, base_revision, object.revision);
+        let key = (key, base_revision, object.stamp());
         if let Some(compressed) = self.compressed.get(&key) {
             return Ok((base_revision, compressed.clone()));
         }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use std::cell;
+use std::collections;
 use std::net;
 use std::rc;
 use std::time::Duration;
@@ -91,8 +92,8 @@
     framed: MessageStream,
     /// Number of the latest change of the replica that the peer has.
     last_sent_change: u64,
-    /// Revisions of large objects that the peer has.
-    peer_revisions: map::HashMap<(u8, String), u64>,
+    /// Changes of large objects that the peer has.
+    peer_stamps: map::HashMap<(u8, String), replica::ObjectStamp>,
     /// Time of the last message received, ms since the start of the process.
     last_received_at: f64,
 }
@@ -104,18 +105,24 @@
             state: state.clone(),
             framed: codec::Framed::new(stream, message::frame_codec()),
             last_sent_change: 0,
-            peer_revisions: map::HashMap::default(),
+            peer_stamps: map::HashMap::default(),
             last_received_at: state.now(),
         })
     }
 
+    /// Sends a message that doesn't depend on the era of the store.
     async fn send(&mut self, message: &PlacementMessage) -> Result<()> {
+        self.send_with_era(message, 0).await
+    }
+
+    async fn send_with_era(&mut self, message: &PlacementMessage, era: u64) -> Result<()> {
         self.state.metrics.peer_message();
-        let bytes = message::encode(message)?;
+        let bytes = message::encode(message, era)?;
         Ok(self.framed.send(bytes).await?)
     }
 
-    async fn receive(&mut self) -> Result<PlacementMessage> {
+    /// Receives a message and the era of the store to which it belongs, zero for none.
+    async fn receive(&mut self) -> Result<(PlacementMessage, u64)> {
         let frame = self.framed.next().await.ok_or(PeerError::Closed)??;
         self.last_received_at = self.state.now();
         Ok(message::decode(&frame)?)
@@ -129,8 +136,13 @@
             spec.is_some_and(|spec| spec.len() >= compression::MIN_COMPRESSED_BYTES)
         };
         let (large, small): (Vec<_>, Vec<_>) = objects.into_iter().partition(is_large);
-        if !small.is_empty() {
-            self.send(&PlacementMessage::Objects(small)).await?;
+        let mut by_era = collections::BTreeMap::<u64, Vec<_>>::new();
+        for object in small {
+            by_era.entry(object.era).or_default().push(object);
+        }
+        for (era, objects) in by_era {
+            let message = PlacementMessage::Objects(objects);
+            self.send_with_era(&message, era).await?;
         }
         for object in large {
             self.send_compressed(object).await?;
@@ -140,32 +152,50 @@
 
     async fn send_compressed(&mut self, mut object: replica::ReplicaObject) -> Result<()> {
         let key = (object.kind, object.name.clone());
-        let known_revision = self.peer_revisions.get(&key).copied();
-        if known_revision.is_some_and(|known_revision| known_revision >= object.revision) {
+        let (era, stamp) = (object.era, object.stamp());
+        let known_stamp = self.peer_stamps.get(&key).copied();
+        if known_stamp == Some(stamp) {
             return Ok(());
         }
-        let (base, compressed) = self.state.compress(&object, known_revision)?;
-        self.peer_revisions.insert(key, object.revision);
+        let (base, compressed) = self.state.compress(&object, known_stamp)?;
+        self.peer_stamps.insert(key, stamp);
         object.spec = None;
         let message = PlacementMessage::Compressed {
             object,
             base,
             compressed,
         };
-        self.send(&message).await
+        self.send_with_era(&message, era).await
     }
 
-    /// Receives the next message that does not carry store objects, applying those that do.
+    /// Receives the next message that does not carry store objects, applying those that do and the
+    /// ages in heartbeats.
     async fn receive_message(&mut self, source: &ids::HostId) -> Result<PlacementMessage> {
         loop {
             match self.receive().await? {
-                PlacementMessage::Objects(objects) => self.apply_objects(objects, source.as_str()),
-                PlacementMessage::Compressed {
-                    object,
-                    base,
-                    compressed,
-                } => self.apply_compressed(object, base, &compressed, source.as_str())?,
-                other => return Ok(other),
+                (PlacementMessage::Objects(mut objects), era) => {
+                    for object in &mut objects {
+                        object.era = era;
+                    }
+                    self.apply_objects(objects, source.as_str());
+                }
+                (
+                    PlacementMessage::Compressed {
+                        mut object,
+                        base,
+                        compressed,
+                    },
+                    era,
+                ) => {
+                    object.era = era;
+                    self.apply_compressed(object, base, &compressed, source.as_str())?;
+                }
+                (message, era) => {
+                    if let PlacementMessage::Heartbeat { ages_ms, .. } = &message {
+                        self.state.merge_ages(ages_ms, era, source.as_str());
+                    }
+                    return Ok(message);
+                }
             }
         }
     }
@@ -181,8 +211,7 @@
         let content = self.state.cache().decompress(&object, base, compressed)?;
         object.spec = Some(content.into());
         let key = (object.kind, object.name.clone());
-        let known_revision = self.peer_revisions.entry(key).or_default();
-        *known_revision = (*known_revision).max(object.revision);
+        self.peer_stamps.insert(key, object.stamp());
         self.apply_objects(vec![object], source);
         Ok(())
     }
@@ -205,7 +234,7 @@
         };
         self.send(&hello_message).await?;
         let reply = time::timeout(DIAL_TIMEOUT, self.receive()).await;
-        match reply.map_err(|_| PeerError::TimedOut)?? {
+        match reply.map_err(|_| PeerError::TimedOut)??.0 {
             PlacementMessage::Hello {
                 host,
                 incarnation,
@@ -221,14 +250,16 @@
         }
     }
 
-    fn heartbeat(&self, watch_store: bool) -> PlacementMessage {
+    async fn send_heartbeat(&mut self, watch_store: bool) -> Result<()> {
         let state = &self.state;
-        PlacementMessage::Heartbeat {
+        let heartbeat = PlacementMessage::Heartbeat {
             ages_ms: state.ages(),
             store_reachable: state.is_store_reachable(),
             status: state.placer_status(),
             watch_store,
-        }
+        };
+        let era = state.store_era();
+        self.send_with_era(&heartbeat, era).await
     }
 
     /// Serves a follower until its connection ends.
@@ -293,18 +324,14 @@
         message: PlacementMessage,
     ) -> Result<()> {
         let PlacementMessage::Heartbeat {
-            ages_ms,
-            store_reachable,
-            ..
+            store_reachable, ..
         } = message
         else {
             self.state.handle_follower_message(incarnation, message);
             return Ok(());
         };
-        self.state.merge_ages(&ages_ms);
         let watch_store = self.state.assign_store_watch(host, store_reachable);
-        let heartbeat = self.heartbeat(watch_store);
-        self.send(&heartbeat).await
+        self.send_heartbeat(watch_store).await
     }
 
     /// Runs as a follower of the placer until the connection ends.
@@ -325,8 +352,7 @@
         loop {
             tokio::select! {
                 message = self.receive_message(host) => match message? {
-                    PlacementMessage::Heartbeat { ages_ms, status, watch_store, .. } => {
-                        self.state.merge_ages(&ages_ms);
+                    PlacementMessage::Heartbeat { status, watch_store, .. } => {
                         self.state.set_assigned_store_watch(watch_store);
                         draining.set(status == PlacerStatus::Draining);
                     }
@@ -338,8 +364,7 @@
                     if self.state.now() - self.last_received_at > PLACER_TIMEOUT_MS {
                         return Err(PeerError::TimedOut);
                     }
-                    let heartbeat = self.heartbeat(false);
-                    self.send(&heartbeat).await?;
+                    self.send_heartbeat(false).await?;
                 }
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -113,18 +113,29 @@
         .new_codec()
 }
 
-/// Encodes a message.
+/// Encodes a message and the era of the store to which it belongs, zero for none. The era follows
+/// the message, where builds that know no eras ignore it.
 ///
 /// ```
 /// use sardinepaddle_gateway::message::{decode, encode, PlacementMessage};
 /// let message = PlacementMessage::Cancel { job: pool::job::JobId { incarnation: 1, number: 2 } };
-/// assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
+/// let bytes = encode(&message, 3).unwrap();
+/// assert_eq!(decode(&bytes).unwrap(), (message, 3));
 /// ```
-pub fn encode(message: &PlacementMessage) -> Result<Bytes, postcard::Error> {
-    postcard::to_stdvec(message).map(Bytes::from)
+pub fn encode(message: &PlacementMessage, era: u64) -> Result<Bytes, postcard::Error> {
+    let mut bytes = postcard::to_stdvec(message)?;
+    if era > 0 {
+        bytes = postcard::to_extend(&era, bytes)?;
+    }
+    Ok(Bytes::from(bytes))
 }
 
-/// Decodes a message.
-pub fn decode(bytes: &[u8]) -> Result<PlacementMessage, postcard::Error> {
-    postcard::from_bytes(bytes)
+/// Decodes a message and the era of the store to which it belongs, zero for none.
+pub fn decode(bytes: &[u8]) -> Result<(PlacementMessage, u64), postcard::Error> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    let era = match rest {
+        [] => 0,
+        rest => postcard::from_bytes(rest)?,
+    };
+    Ok((message, era))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     request_duration: api::Histogram<f64>,
     data_age: api::Gauge<f64>,
     config_version: api::Gauge<u64>,
+    store_era: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
     log_lines_dropped: api::Gauge<u64>,
 }
@@ -66,6 +67,10 @@
                 .with_description("Age of what is known of the store")
                 .build(),
             config_version: gauge("config_version", "Version of the configuration in force"),
+            store_era: gauge(
+                "store_era",
+                "Times that the store came back from an older copy",
+            ),
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
@@ -139,6 +144,11 @@
         self.log_lines_dropped.record(dropped as u64, &[]);
     }
 
+    /// Records the latest known era of the store.
+    pub fn store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> scrape::Result<String> {
         self.registry.render()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,6 @@
 //! Execution of one client request: requests a placement, sends the request to the endpoint, and
 //! retries where that is allowed.
 
-use std::net;
 use std::pin::Pin;
 use std::rc;
 use std::time::Duration;
@@ -41,6 +40,8 @@
 const CALL_TIMEOUT_FRACTION: f64 = 0.45;
 /// `Retry-After` when endpoints refused the request, ms.
 const REFUSED_RETRY_AFTER_MS: u64 = 300;
+/// Shortest `Retry-After` when all endpoints of a service want no requests for a time, ms.
+const MIN_QUIET_RETRY_MS: u64 = 50;
 /// Maximum size of an endpoint's failure response that is buffered for the client, bytes.
 const MAX_FAILURE_BODY_BYTES: usize = 1024 * 1024;
 
@@ -195,6 +196,8 @@
     /// Id of the last event that the client has.
     pub last_event: Option<u64>,
     attempts: u32,
+    /// Number of attempts that were not sent as their endpoint was closed in the meantime.
+    unsent: u32,
     /// Number of attempts that may have run.
     possible_runs: u32,
     may_have_run: bool,
@@ -211,6 +214,7 @@
             last_event: request.hints.last_event_id,
             request: rc::Rc::new(request),
             attempts: 0,
+            unsent: 0,
             possible_runs: 0,
             may_have_run: false,
             excluded: Vec::new(),
@@ -430,11 +434,13 @@
             mut lease,
             memory,
             plan,
+            started_ms,
             placed_at,
             exchange: _,
         } = sent;
         let checked = match reply {
             Ok((connection, response)) => {
+                self.record_notice(&plan.primary.endpoint, started_ms, &response);
                 let keep_alive = upstream::keep_alive_timeout(response.headers());
                 let checked = self.check_response(response, &plan).await;
                 checked.map(|parts| (connection, keep_alive, parts))
@@ -462,6 +468,21 @@
         }
     }
 
+    /// Records what a response states about its endpoint, unless another one has its address.
+    fn record_notice(
+        &self,
+        endpoint: &ids::EndpointId,
+        started_ms: u64,
+        response: &http::Response<Incoming>,
+    ) {
+        let (status, headers) = (response.status(), response.headers());
+        if !headers::parse_marks(status, headers).misdirected {
+            let notice = headers::parse_notice(status, headers);
+            let state = &self.request.state;
+            state.record_notice(endpoint, started_ms, notice);
+        }
+    }
+
     fn end_failed(
         &mut self,
         lease: &mut JobLease,
@@ -499,6 +520,16 @@
     async fn place(&self, job: job::JobId) -> Result<job::PlacementPlan, AttemptError> {
         let request = &self.request;
         let state = &request.state;
+        let service = &request.route_match.service;
+        if let Some(due_ms) = state.until_first_due_ms(service, &self.excluded) {
+            let retry_after_ms = (due_ms.ceil() as u64).max(MIN_QUIET_RETRY_MS);
+            log::info!(target: "sardinepaddle", request = request.hints.attempt_id, retry_after_ms;
+                "request declined: all endpoints want no requests for a time");
+            return Err(AttemptError::declined(response::LocalResponse::NotRun {
+                reason: "endpoints_quiet",
+                retry_after_ms,
+            }));
+        }
         let requested_at = state.now();
         let placement_request = self.placement_request(requested_at);
         let decision = time::timeout(
@@ -553,6 +584,8 @@
             },
             None => job::JobKind::Call,
         };
+        let mut excluded = self.excluded.clone();
+        excluded.extend(request.state.quiet_endpoints(&request.route_match.service));
         job::PlacementRequest {
             route: route.name.clone(),
             service: request.route_match.service.clone(),
@@ -564,8 +597,8 @@
             abandon_after_ms: request.abandon_after_ms(),
             remaining_ms: request.remaining_ms(),
             priority: request.route_match.priority,
-            excluded: self.excluded.clone(),
-            is_retry: self.possible_runs > 0 || self.attempts > 0,
+            excluded,
+            is_retry: self.possible_runs > 0 || self.attempts > self.unsent,
         }
     }
 
@@ -578,35 +611,70 @@
     ) -> Result<SentRequest, AttemptError> {
         let request = self.request.clone();
         let placed_at = request.state.now();
-        let prepared = if request.state.cache().accepts_work(&plan.primary.endpoint) {
-            let upstreams = &request.upstreams;
-            let memory = reservations::MemoryLease::reserve(upstreams, lease.job, &plan.helpers);
-            memory.await.map_err(|endpoint| AttemptError {
-                at_fault: Some(endpoint),
-                ..AttemptError::not_run(health::HealthSignal::Full, "memory_refused")
-            })
-        } else {
-            let signal = health::HealthSignal::Inconclusive;
-            Err(AttemptError::not_run(signal, "endpoint_left"))
-        };
-        let memory = match prepared {
+        let memory = match self.prepare(lease.job, &plan).await {
             Ok(memory) => memory,
             Err(error) => {
                 self.end_failed(&mut lease, &plan, &error);
                 return Err(error);
             }
         };
+        let state = &request.state;
+        let started_ms = state.started_ms(&plan.primary.endpoint);
+        for member in plan.members() {
+            state.record_send(&member.endpoint);
+        }
         let headers = self.outgoing_headers(&lease, &plan);
-        let exchange = Box::pin(exchange(request, plan.primary.address, headers));
+        let exchange = Box::pin(exchange(request, plan.primary.clone(), headers));
         Ok(SentRequest {
             lease,
             memory,
             plan,
+            started_ms,
             placed_at,
             exchange,
         })
     }
 
+    /// Reserves the memory that a plan needs, if all its endpoints may get requests.
+    async fn prepare(
+        &mut self,
+        job: job::JobId,
+        plan: &job::PlacementPlan,
+    ) -> Result<reservations::MemoryLease, AttemptError> {
+        let request = self.request.clone();
+        if let Some(endpoint) = self.closed_member(plan) {
+            return Err(self.unsent_error(endpoint));
+        }
+        let (state, upstreams) = (&request.state, &request.upstreams);
+        let memory = reservations::MemoryLease::reserve(state, upstreams, job, &plan.helpers);
+        let memory = memory.await.map_err(|endpoint| AttemptError {
+            at_fault: Some(endpoint),
+            ..AttemptError::not_run(health::HealthSignal::Full, "memory_refused")
+        })?;
+        // An endpoint may have been closed while memory was reserved.
+        match self.closed_member(plan) {
+            Some(endpoint) => Err(self.unsent_error(endpoint)),
+            None => Ok(memory),
+        }
+    }
+
+    /// Returns an endpoint of a plan that may get no requests now, if there is one.
+    fn closed_member(&self, plan: &job::PlacementPlan) -> Option<ids::EndpointId> {
+        let state = &self.request.state;
+        let mut members = plan.members();
+        let closed = members.find(|member| !state.may_send(&member.endpoint));
+        closed.map(|member| member.endpoint.clone())
+    }
+
+    /// Returns the error of an attempt that is not sent, as an endpoint of its plan is closed.
+    fn unsent_error(&mut self, closed: ids::EndpointId) -> AttemptError {
+        self.unsent += 1;
+        AttemptError {
+            at_fault: Some(closed),
+            ..AttemptError::not_run(health::HealthSignal::Inconclusive, "endpoint_left")
+        }
+    }
+
     fn outgoing_headers(&self, lease: &JobLease, plan: &job::PlacementPlan) -> http::HeaderMap {
         let request = &self.request;
         let helpers: Vec<headers::HelperEndpoint> = plan
@@ -659,9 +727,8 @@
             } else {
                 health::HealthSignal::Full
             };
-            let members = std::iter::once(&plan.primary).chain(&plan.helpers);
             let at_fault = marks.at_fault.as_ref().and_then(|name| {
-                let mut members = members;
+                let mut members = plan.members();
                 let member = members.find(|member| {
                     member.endpoint.as_str() == name || member.address.to_string() == *name
                 });
@@ -723,27 +790,35 @@
     lease: JobLease,
     memory: reservations::MemoryLease,
     plan: job::PlacementPlan,
+    /// Start time of the incarnation of the primary to which it was sent, Unix ms.
+    started_ms: u64,
     placed_at: f64,
     exchange: Pin<Box<dyn Future<Output = upstream::Result<ExchangeReply>>>>,
 }
 
 /// Sends a request and waits for the header of its response. If a reused connection turns out to be
-/// closed, the request is sent again over a new one, provided that it may run again.
+/// closed, the request is sent again over a new one, provided that it may run again and that the
+/// endpoint still accepts requests.
 async fn exchange(
     request: rc::Rc<ClientRequest>,
-    address: net::SocketAddr,
+    primary: job::PlanMember,
     headers: http::HeaderMap,
 ) -> upstream::Result<ExchangeReply> {
     let mut force_new = !request.route_match.route.retry_safety.is_retryable();
     loop {
-        let mut connection = request.upstreams.connect(address, force_new).await?;
+        let mut connection = request
+            .upstreams
+            .connect(primary.address, force_new)
+            .await?;
         let mut outgoing = http::Request::builder()
             .method(request.method.clone())
             .uri(request.path.as_str())
             .body(Full::new(request.body.clone()))?;
         *outgoing.headers_mut() = headers.clone();
         match connection.exchange(outgoing).await {
-            Err(upstream::UpstreamError::Stale(_)) => force_new = true,
+            Err(upstream::UpstreamError::Stale(_)) if request.state.may_send(&primary.endpoint) => {
+                force_new = true;
+            }
             reply => return Ok((connection, reply?)),
         }
     }
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -8,11 +8,14 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use model::ids;
 use platform::endpoint;
+use platform::headers;
 use pool::job;
 use tokio::task;
 use tokio::time;
 
+use crate::state;
 use crate::upstream;
 
 /// Lifetime of a reservation, which bounds how long one remains after its daemon has died.
@@ -27,13 +30,23 @@
 /// A reservation on one endpoint.
 #[derive(Clone, Debug)]
 struct MemoryReservation {
-    address: net::SocketAddr,
+    target: OrderTarget,
     id: String,
     tokens: u64,
 }
 
+/// An incarnation of an endpoint that gets orders.
+#[derive(Clone, Debug)]
+struct OrderTarget {
+    endpoint: ids::EndpointId,
+    address: net::SocketAddr,
+    /// Its start time, Unix ms.
+    started_ms: u64,
+}
+
 /// All memory reserved for one attempt. Released on drop.
 pub(crate) struct MemoryLease {
+    state: rc::Rc<state::DaemonState>,
     upstreams: rc::Rc<upstream::UpstreamPool>,
     reservations: Vec<MemoryReservation>,
     renewal: Option<task::JoinHandle<()>>,
@@ -43,26 +56,33 @@
     /// Reserves the memory that a plan needs, all or nothing. On failure returns the endpoint that
     /// did not grant it.
     pub async fn reserve(
+        state: &rc::Rc<state::DaemonState>,
         upstreams: &rc::Rc<upstream::UpstreamPool>,
         job: job::JobId,
         helpers: &[job::PlanMember],
-    ) -> Result<Self, model::ids::EndpointId> {
+    ) -> Result<Self, ids::EndpointId> {
         let mut lease = Self {
+            state: state.clone(),
             upstreams: upstreams.clone(),
             reservations: Vec::new(),
             renewal: None,
         };
         for helper in helpers.iter().filter(|helper| helper.reserve_tokens > 0) {
             let reservation = MemoryReservation {
-                address: helper.address,
+                target: OrderTarget {
+                    endpoint: helper.endpoint.clone(),
+                    address: helper.address,
+                    started_ms: state.started_ms(&helper.endpoint),
+                },
                 id: reservation_id(job, helper),
                 tokens: helper.reserve_tokens,
             };
             let body = endpoint::reserve_body(&reservation.id, reservation.tokens, RESERVATION_TTL);
             // Recorded before the order is sent, as an order without a response may have been
             // carried out.
+            let target = reservation.target.clone();
             lease.reservations.push(reservation);
-            let reply = send_order(upstreams, helper.address, body).await;
+            let reply = send_order(state, upstreams, &target, body).await;
             log::info!(target: "sardinepaddle", job = job.number, endpoint:% = helper.endpoint,
                 tokens = helper.reserve_tokens, reply:? = reply; "memory reservation requested");
             if reply != endpoint::OrderReply::Done {
@@ -70,7 +90,7 @@
             }
         }
         if !lease.reservations.is_empty() {
-            let renewal = renew(upstreams.clone(), lease.reservations.clone());
+            let renewal = renew(state.clone(), upstreams.clone(), lease.reservations.clone());
             lease.renewal = Some(task::spawn_local(renewal));
         }
         Ok(lease)
@@ -83,7 +103,11 @@
             renewal.abort();
         }
         for reservation in self.reservations.drain(..) {
-            task::spawn_local(release(self.upstreams.clone(), reservation));
+            task::spawn_local(release(
+                self.state.clone(),
+                self.upstreams.clone(),
+                reservation,
+            ));
         }
     }
 }
@@ -93,12 +117,17 @@
     format!("{:x}-{}-{}", job.incarnation, job.number, helper.endpoint)
 }
 
-async fn renew(upstreams: rc::Rc<upstream::UpstreamPool>, reservations: Vec<MemoryReservation>) {
+/// Renews reservations, also of endpoints that want no requests: the requests that use them run.
+async fn renew(
+    state: rc::Rc<state::DaemonState>,
+    upstreams: rc::Rc<upstream::UpstreamPool>,
+    reservations: Vec<MemoryReservation>,
+) {
     loop {
         time::sleep(RENEW_PERIOD).await;
         for reservation in &reservations {
             let body = endpoint::reserve_body(&reservation.id, reservation.tokens, RESERVATION_TTL);
-            let reply = send_order(&upstreams, reservation.address, body).await;
+            let reply = send_order(&state, &upstreams, &reservation.target, body).await;
             if reply != endpoint::OrderReply::Done {
                 log::warn!(target: "sardinepaddle", reservation = reservation.id, reply:? = reply;
                     "memory reservation not renewed");
@@ -107,12 +136,17 @@
     }
 }
 
-/// Releases a reservation, retrying until it would have expired.
-async fn release(upstreams: rc::Rc<upstream::UpstreamPool>, reservation: MemoryReservation) {
+/// Releases a reservation, retrying until it would have expired. One of an endpoint that wants no
+/// requests is left to expire.
+async fn release(
+    state: rc::Rc<state::DaemonState>,
+    upstreams: rc::Rc<upstream::UpstreamPool>,
+    reservation: MemoryReservation,
+) {
     let expires_at = time::Instant::now() + RESERVATION_TTL;
-    while time::Instant::now() < expires_at {
+    while time::Instant::now() < expires_at && !state.is_quiet(&reservation.target.endpoint) {
         let body = endpoint::release_body(&reservation.id);
-        match send_order(&upstreams, reservation.address, body).await {
+        match send_order(&state, &upstreams, &reservation.target, body).await {
             endpoint::OrderReply::Done | endpoint::OrderReply::Refused => return,
             reply => {
                 log::info!(target: "sardinepaddle", reservation = reservation.id, reply:? = reply;
@@ -124,10 +158,12 @@
 }
 
 async fn send_order(
+    state: &state::DaemonState,
     upstreams: &upstream::UpstreamPool,
-    address: net::SocketAddr,
+    target: &OrderTarget,
     body: Vec<u8>,
 ) -> endpoint::OrderReply {
+    let address = target.address;
     let exchange = async {
         let request = http::Request::builder()
             .method(http::Method::POST)
@@ -138,6 +174,8 @@
         let mut connection = upstreams.connect(address, false).await?;
         let response = connection.exchange(request).await?;
         let status = response.status();
+        let notice = headers::parse_notice(status, response.headers());
+        state.record_notice(&target.endpoint, target.started_ms, notice);
         let keep_alive = upstream::keep_alive_timeout(response.headers());
         let body_result = response.into_body().collect().await;
         if body_result.is_ok() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -112,7 +112,7 @@
     };
     task::spawn_local(frontend::accept(context, client_listener));
     store_sync::start(&state);
-    task::spawn_local(store_sync::register(state.clone(), entry));
+    task::spawn_local(store_sync::keep_registered(state.clone(), entry));
     task::spawn_local(tick(state.clone(), upstreams));
     log::info!(target: "sardinepaddle", life = state.incarnation, callers:% = addresses.callers;
         "daemon started");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,9 +5,12 @@
 
 use model::ids;
 use model::map;
+use model::millis;
 use platform::catalog;
+use platform::headers;
 use pool::job;
 use pool::placer;
+use pool::quiet;
 use pool::rank;
 use pool::replica;
 use pool::routes;
@@ -80,6 +83,10 @@
     followers: cell::RefCell<followers::FollowerTable<message::PlacementMessage>>,
     /// Number of the latest change of the replica.
     changes: watch::Sender<u64>,
+    /// Latest known era of the store.
+    era_changes: watch::Sender<u64>,
+    /// Periods in which endpoints want no requests from this daemon.
+    quiet_periods: cell::RefCell<quiet::QuietPeriods>,
     /// Time of the shutdown request, ms.
     shutdown_started_at: cell::Cell<Option<f64>>,
     /// Object kinds for which the last call to the store failed.
@@ -124,6 +131,8 @@
             running: cell::RefCell::default(),
             followers: cell::RefCell::default(),
             changes: watch::Sender::new(0),
+            era_changes: watch::Sender::new(0),
+            quiet_periods: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
             unreachable_kinds: cell::RefCell::default(),
             follower_reachability: cell::RefCell::default(),
@@ -164,7 +173,7 @@
     pub fn compress(
         &self,
         object: &replica::ReplicaObject,
-        base: Option<u64>,
+        base: Option<replica::ObjectStamp>,
     ) -> std::io::Result<(u64, bytes::Bytes)> {
         self.cache.borrow_mut().compress(object, base)
     }
@@ -195,14 +204,46 @@
         self.cache.borrow_mut().mark_synced(self.now(), kind);
     }
 
-    /// Merges the ages reported by another daemon.
-    pub fn merge_ages(&self, ages_ms: &[u64]) {
-        self.cache.borrow_mut().merge_ages(self.now(), ages_ms);
+    /// Merges the ages that another daemon reported with the latest era that it knows. Those of an
+    /// earlier era are not merged: the daemon's objects are older than they appear.
+    pub fn merge_ages(&self, ages_ms: &[u64], era: u64, source: &str) {
+        self.observe_era(era, source);
+        if era == self.store_era() {
+            self.cache.borrow_mut().merge_ages(self.now(), ages_ms);
+        }
+    }
+
+    /// Returns the latest known era of the store; zero if it states none.
+    pub fn store_era(&self) -> u64 {
+        self.cache.borrow().era()
+    }
+
+    /// Records an era of the store. Returns whether it is later than the known one.
+    pub fn observe_era(&self, era: u64, source: &str) -> bool {
+        let is_later = self.cache.borrow_mut().observe_era(era, source);
+        self.notify_era();
+        is_later
+    }
+
+    fn notify_era(&self) {
+        let era = self.store_era();
+        self.era_changes.send_if_modified(|known| {
+            let is_later = *known < era;
+            *known = era;
+            is_later
+        });
+    }
+
+    /// Returns a receiver that is notified of a new era of the store.
+    pub fn subscribe_eras(&self) -> watch::Receiver<u64> {
+        self.era_changes.subscribe()
     }
 
     /// Applies objects read from the store or received from another daemon.
     pub fn apply(&self, objects: Vec<replica::ReplicaObject>, source: &str) {
-        let changed_kinds = self.cache.borrow_mut().apply(objects, source);
+        let now = self.now();
+        let changed_kinds = self.cache.borrow_mut().apply(now, objects, source);
+        self.notify_era();
         if changed_kinds.is_empty() {
             return;
         }
@@ -211,10 +252,94 @@
             self.rank.borrow_mut().set_daemons(cache.daemons());
             self.update_retry_share();
         }
+        self.update_placer(&cache);
+        self.changes.send_replace(cache.last_change());
+    }
+
+    fn update_placer(&self, cache: &store_cache::StoreCache) {
         let mut placer = self.placer.borrow_mut();
         placer.set_services(&cache.index().config().services);
         placer.set_endpoints(&cache.endpoints(), cache.closed_centres());
-        self.changes.send_replace(cache.last_change());
+    }
+
+    /// Returns the start time of the listed incarnation of an endpoint, Unix ms; zero if it isn't
+    /// listed.
+    pub fn started_ms(&self, id: &ids::EndpointId) -> u64 {
+        let cache = self.cache.borrow();
+        cache.endpoint(id).map_or(0, |live| live.started_ms)
+    }
+
+    /// Records what a response of an incarnation of an endpoint states about requests that follow.
+    /// One that is leaving is closed at once, and the other daemons are told.
+    pub fn record_notice(
+        &self,
+        id: &ids::EndpointId,
+        started_ms: u64,
+        notice: headers::EndpointNotice,
+    ) {
+        if let Some(period) = notice.quiet_period {
+            log::info!(target: "sardinepaddle", endpoint:% = id, period_ms = period.as_millis();
+                "endpoint wants no requests for a time");
+            let period_ms = millis::from_duration(period);
+            let mut periods = self.quiet_periods.borrow_mut();
+            periods.record(self.now(), id, started_ms, period_ms);
+        }
+        if notice.leaving && !self.cache.borrow().is_closed(id, started_ms) {
+            log::info!(target: "sardinepaddle", endpoint:% = id, started_ms;
+                "endpoint stated that it is leaving");
+            let closed = store_cache::StoreCache::closed_object(id, started_ms);
+            self.apply(vec![closed], "endpoint");
+        }
+    }
+
+    /// Returns whether an endpoint wants no requests of this daemon now.
+    pub fn is_quiet(&self, id: &ids::EndpointId) -> bool {
+        let cache = self.cache.borrow();
+        let periods = self.quiet_periods.borrow();
+        let live = cache.endpoint(id);
+        live.is_some_and(|live| !periods.accepts(self.now(), live))
+    }
+
+    /// Returns whether an endpoint may get a request of this daemon now.
+    pub fn may_send(&self, id: &ids::EndpointId) -> bool {
+        self.cache.borrow().accepts_work(id) && !self.is_quiet(id)
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub fn record_send(&self, id: &ids::EndpointId) {
+        let now = self.now();
+        self.quiet_periods.borrow_mut().record_send(now, id);
+    }
+
+    /// Returns the endpoints of a service that want no requests of this daemon now.
+    pub fn quiet_endpoints(&self, service: &ids::ServiceId) -> Vec<ids::EndpointId> {
+        let periods = self.quiet_periods.borrow();
+        if periods.is_empty() {
+            return Vec::new();
+        }
+        let cache = self.cache.borrow();
+        let quiet = cache
+            .accepting(service)
+            .filter(|live| !periods.accepts(self.now(), live));
+        quiet.map(|live| live.id.clone()).collect()
+    }
+
+    /// Returns the time until the first endpoint of a service, apart from those `excluded`, wants
+    /// requests again, ms, if none does now.
+    pub fn until_first_due_ms(
+        &self,
+        service: &ids::ServiceId,
+        excluded: &[ids::EndpointId],
+    ) -> Option<f64> {
+        let periods = self.quiet_periods.borrow();
+        if periods.is_empty() {
+            return None;
+        }
+        let cache = self.cache.borrow();
+        let accepting = cache.accepting(service);
+        let remaining = accepting.filter(|live| !excluded.contains(&live.id));
+        let now = self.now();
+        periods.first_due(now, remaining).map(|due| due - now)
     }
 
     /// Whether the daemon accepts new requests.
@@ -350,6 +475,7 @@
         let dropped = self.log.drop_counter.dropped_lines();
         self.metrics
             .record_gauges(self.data_age().min(1e9), version, waiting, dropped);
+        self.metrics.store_era(self.store_era());
     }
 
     /// Returns a receiver that is notified of changes of the replica.
@@ -441,8 +567,15 @@
     /// Removes expired jobs from the local placer, also while no request waits there; called at a
     /// lower rate than [`Self::tick`].
     pub fn sweep(&self) {
-        self.placer.borrow_mut().tick(self.now());
+        let now = self.now();
+        self.placer.borrow_mut().tick(now);
         self.deliver_decisions();
+        self.quiet_periods.borrow_mut().sweep(now);
+        let max_age_ms = self.settings().bounds.endpoints_ms;
+        let is_changed = self.cache.borrow_mut().review_holds(now, max_age_ms);
+        if is_changed {
+            self.update_placer(&self.cache.borrow());
+        }
     }
 
     fn reroute_unanswered(&self) {
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -8,6 +8,7 @@
 use model::map;
 use model::serving;
 use platform::catalog;
+use pool::holds;
 use pool::replica;
 use pool::routes;
 
@@ -21,12 +22,19 @@
 /// Age assigned to a list that the store may have served from an outdated copy, ms: above the bound
 /// on the age of every kind.
 const STALE_LIST_AGE_MS: f64 = 60_000.0;
+/// Number of a kind of objects that daemons exchange but the store doesn't have: incarnations of
+/// endpoints whose responses stated that they are leaving. The revision is the start time of the
+/// incarnation.
+const CLOSED_KIND: u8 = u8::MAX;
 /// Age reported for a kind that was never listed, ms.
 const NEVER_SYNCED_AGE_MS: u64 = 1_000_000_000;
 
 /// Decoded copy of the store's objects.
 pub(crate) struct StoreCache {
     replica: replica::ObjectReplica,
+    /// Latest known era of the store; zero if it states none.
+    era: u64,
+    holds: holds::EndpointHolds,
     history: compression::RevisionHistory,
     index: rc::Rc<routes::RouteIndex>,
     endpoints: map::HashMap<ids::EndpointId, serving::LiveEndpoint>,
@@ -43,6 +51,8 @@
     pub fn new() -> Self {
         Self {
             replica: replica::ObjectReplica::default(),
+            era: 0,
+            holds: holds::EndpointHolds::default(),
             history: compression::RevisionHistory::default(),
             index: rc::Rc::default(),
             endpoints: map::HashMap::default(),
@@ -52,6 +62,21 @@
         }
     }
 
+    /// Returns the latest known era of the store; zero if it states none.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Records an era of the store. Returns whether it is later than the known one.
+    pub fn observe_era(&mut self, era: u64, source: &str) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        log::info!(target: "sardinepaddle", era, previous = self.era, source; "store era changed");
+        self.era = era;
+        true
+    }
+
     /// Returns the index of the current configuration.
     pub fn index(&self) -> rc::Rc<routes::RouteIndex> {
         self.index.clone()
@@ -77,6 +102,26 @@
         &self.daemons
     }
 
+    /// Returns an endpoint of the list.
+    pub fn endpoint(&self, id: &ids::EndpointId) -> Option<&serving::LiveEndpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns the endpoints of a service that accept new requests, according to this copy.
+    pub fn accepting<'a>(
+        &'a self,
+        service: &'a ids::ServiceId,
+    ) -> impl Iterator<Item = &'a serving::LiveEndpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |live| live.service == *service && self.accepts_work(&live.id))
+    }
+
+    /// Whether an incarnation of an endpoint has stated that it is leaving.
+    pub fn is_closed(&self, id: &ids::EndpointId, started_ms: u64) -> bool {
+        let closed = self.replica.object(CLOSED_KIND, id.as_str());
+        closed.is_some_and(|closed| closed.revision >= started_ms)
+    }
+
     /// Whether an endpoint accepts new requests, according to this copy.
     pub fn accepts_work(&self, id: &ids::EndpointId) -> bool {
         let live = self.endpoints.get(id);
@@ -137,17 +182,22 @@
         self.replica.names(kind as u8)
     }
 
+    /// Returns an object of a kind, or its removal.
+    pub fn object(&self, kind: catalog::ObjectKind, name: &str) -> Option<&replica::ReplicaObject> {
+        self.replica.object(kind as u8, name)
+    }
+
     /// Compresses a large object for a daemon that has its revision `base`.
     pub fn compress(
         &mut self,
         object: &replica::ReplicaObject,
-        base: Option<u64>,
+        base: Option<replica::ObjectStamp>,
     ) -> io::Result<(u64, Bytes)> {
         self.history.compress(object, base)
     }
 
-    /// Decompresses an object compressed by another daemon against revision `base`; zero if there
-    /// is none.
+    /// Decompresses an object compressed by another daemon against revision `base` of the same era;
+    /// zero if there is none.
     pub fn decompress(
         &self,
         object: &replica::ReplicaObject,
@@ -156,7 +206,11 @@
     ) -> io::Result<Vec<u8>> {
         let content = match base {
             0 => None,
-            base => {
+            revision => {
+                let base = replica::ObjectStamp {
+                    era: object.era,
+                    revision,
+                };
                 let content = self.history.content(object.kind, &object.name, base);
                 let missing = || io::Error::other("the base revision is not available");
                 Some(content.ok_or_else(missing)?)
@@ -168,30 +222,76 @@
     /// Applies objects. Returns the kinds that changed.
     pub fn apply(
         &mut self,
+        now: f64,
         objects: Vec<replica::ReplicaObject>,
         source: &str,
     ) -> Vec<catalog::ObjectKind> {
         let mut changed = [false; KIND_COUNT];
-        for object in objects {
-            let kind = usize::from(object.kind);
+        for mut object in objects {
+            self.observe_era(object.era, source);
+            let known = self.replica.object(object.kind, &object.name);
+            if known.is_some_and(|known| known.stamp() == object.stamp()) {
+                continue;
+            }
+            let kind = match object.kind {
+                CLOSED_KIND => Some(catalog::ObjectKind::Endpoints),
+                number => catalog::ObjectKind::ALL.get(usize::from(number)).copied(),
+            };
+            if let (Some(kind), Some(spec)) = (kind, &object.spec) {
+                object.version = catalog::content_version(kind, spec);
+            }
             // Even an outdated object may serve as the base of a later difference.
             self.history.record(&object);
-            if self.replica.apply(object) && kind < KIND_COUNT {
-                changed[kind] = true;
+            let name = object.name.clone();
+            let is_applied = self.replica.apply(object);
+            match kind {
+                Some(kind) if is_applied => changed[kind as usize] = true,
+                Some(kind @ catalog::ObjectKind::Config) => {
+                    log::info!(target: "sardinepaddle", kind = kind.name(), name, source;
+                        "object ignored: its version is not newer");
+                }
+                _ => {}
             }
         }
         let kinds = catalog::ObjectKind::ALL.into_iter();
         let kinds: Vec<_> = kinds.filter(|kind| changed[*kind as usize]).collect();
         for kind in &kinds {
-            self.decode(*kind, source);
+            self.decode(now, *kind, source);
         }
         kinds
     }
 
-    fn decode(&mut self, kind: catalog::ObjectKind, source: &str) {
+    /// Returns the object that closes an incarnation of an endpoint to new requests, here and at
+    /// other daemons.
+    pub fn closed_object(id: &ids::EndpointId, started_ms: u64) -> replica::ReplicaObject {
+        replica::ReplicaObject {
+            kind: CLOSED_KIND,
+            name: id.as_str().to_owned(),
+            revision: started_ms,
+            spec: Some(Bytes::new()),
+            era: 0,
+            version: 0,
+        }
+    }
+
+    /// Opens the endpoints whose hold has run out, as long as the list of endpoints is not older
+    /// than `max_age_ms`. Returns whether the endpoints changed.
+    pub fn review_holds(&mut self, now: f64, max_age_ms: f64) -> bool {
+        if now - self.synced_at(catalog::ObjectKind::Endpoints) > max_age_ms {
+            self.holds.restart(now);
+            return false;
+        }
+        let is_due = self.holds.has_expired(now);
+        if is_due {
+            self.decode_endpoints(now, "hold expired");
+        }
+        is_due
+    }
+
+    fn decode(&mut self, now: f64, kind: catalog::ObjectKind, source: &str) {
         match kind {
             catalog::ObjectKind::Config => self.decode_config(source),
-            catalog::ObjectKind::Endpoints => self.decode_endpoints(source),
+            catalog::ObjectKind::Endpoints => self.decode_endpoints(now, source),
             catalog::ObjectKind::Emptied => self.decode_closed_centres(source),
             catalog::ObjectKind::Daemons => self.decode_daemons(source),
         }
@@ -223,12 +323,14 @@
         }
     }
 
-    fn decode_endpoints(&mut self, source: &str) {
+    fn decode_endpoints(&mut self, now: f64, source: &str) {
         let mut endpoints = map::HashMap::default();
+        let mut stamps = map::HashMap::default();
         for object in self.replica.present(catalog::ObjectKind::Endpoints as u8) {
             let spec = object.spec.as_deref().unwrap_or_default();
             match catalog::decode_endpoint(&object.name, spec) {
                 Ok(live) => {
+                    stamps.insert(live.id.clone(), object.stamp());
                     endpoints.insert(live.id.clone(), live);
                 }
                 Err(error) => {
@@ -237,6 +339,20 @@
                 }
             }
         }
+        let listed = endpoints.values().map(|live| holds::ListedEndpoint {
+            live,
+            stamp: stamps.get(&live.id).copied().unwrap_or_default(),
+        });
+        self.holds.update(now, &listed.collect::<Vec<_>>(), |id| {
+            let removed = self
+                .replica
+                .object(catalog::ObjectKind::Endpoints as u8, id.as_str());
+            removed.map_or(0, |removed| removed.era)
+        });
+        for (id, live) in &mut endpoints {
+            let is_closed = self.is_closed(id, live.started_ms);
+            live.leaving = live.leaving || is_closed || self.holds.is_held(id);
+        }
         for (id, live) in &endpoints {
             let previous: Option<&serving::LiveEndpoint> = self.endpoints.get(id);
             if previous.is_none_or(|previous| previous != live) {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -44,6 +44,14 @@
 /// Time after an outage of the store during which removals of endpoints are deferred, ms: entries
 /// that expired during the outage are back within two seconds if their endpoint is alive.
 const REMOVAL_DEFER_MS: f64 = 2_200.0;
+/// Time for which an entry that the store lost by coming back from an older copy is kept until its
+/// writer has written it again, ms: operators may take a while, daemons register within seconds.
+const LOST_CENTRE_DEFER_MS: f64 = 30_000.0;
+const LOST_DAEMON_DEFER_MS: f64 = 10_000.0;
+/// Time after the start of an era in which the list of daemons reaches all of them, and the range
+/// over which those that are missing from it then register.
+const REGISTRATION_SETTLE_TIME: Duration = Duration::from_millis(1_500);
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(2_000);
 /// Minimum and maximum wait of a watch while removals are deferred, ms: removals that have become
 /// due are applied between two calls, so the wait ends when the first one is due.
 const DEFERRED_WAIT_MS: (f64, f64) = (20.0, 60_000.0);
@@ -53,8 +61,8 @@
     state: rc::Rc<state::DaemonState>,
     kind: catalog::ObjectKind,
     client: store::StoreClient,
-    /// Revision to continue from; `None` if the kind has to be listed.
-    revision: Option<u64>,
+    /// Stamp to continue from; `None` if the kind has to be listed.
+    stamp: Option<replica::ObjectStamp>,
     /// Whether the kind has been listed since the start of the process.
     has_listed: bool,
     /// Whether the last call failed or its response was late.
@@ -70,7 +78,7 @@
 struct DeferredRemoval {
     /// Time at which the removal is applied, ms.
     apply_at: f64,
-    revision: u64,
+    stamp: replica::ObjectStamp,
 }
 
 /// Starts a watcher for each kind, which runs until the process exits.
@@ -80,7 +88,7 @@
             state: state.clone(),
             kind,
             client: store::StoreClient::new(state.settings().store),
-            revision: None,
+            stamp: None,
             has_listed: false,
             unreachable: false,
             recovered_at: f64::NEG_INFINITY,
@@ -90,18 +98,50 @@
     }
 }
 
-/// Registers this daemon in the store, retrying until it succeeds.
-pub(crate) async fn register(state: rc::Rc<state::DaemonState>, spec: String) {
+/// Keeps this daemon registered in the store: registers it at its start, and in each era of the
+/// store whose list of daemons lacks it.
+pub(crate) async fn keep_registered(state: rc::Rc<state::DaemonState>, spec: String) {
+    let mut eras = state.subscribe_eras();
+    let mut registered_era = register(&state, &spec).await;
+    loop {
+        let changed = eras.wait_for(|era| *era > registered_era).await;
+        let Ok(era) = changed.map(|era| *era) else {
+            return;
+        };
+        let spread = REGISTRATION_SPREAD.mul_f64(rand::random());
+        time::sleep(REGISTRATION_SETTLE_TIME + spread).await;
+        registered_era = match is_registered(&state, era, &spec) {
+            true => era,
+            false => register(&state, &spec).await.max(era),
+        };
+    }
+}
+
+/// Whether an era's list of daemons contains this one's entry.
+fn is_registered(state: &state::DaemonState, era: u64, spec: &str) -> bool {
+    let settings = state.settings();
+    let cache = state.cache();
+    let object = cache.object(catalog::ObjectKind::Daemons, settings.host.as_str());
+    let listed = object.filter(|object| object.era >= era);
+    let listed = listed.and_then(|object| object.spec.as_deref());
+    let listed = listed.and_then(|listed| catalog::decode_daemon(listed).ok());
+    let own = catalog::decode_daemon(spec.as_bytes()).ok();
+    listed.is_some() && listed == own
+}
+
+/// Registers this daemon in the store, retrying until it succeeds. Returns the era of the store.
+async fn register(state: &state::DaemonState, spec: &str) -> u64 {
     let mut client = store::StoreClient::new(state.settings().store);
     let (mut backoff, max_backoff) = RETRY_BACKOFF;
     let kind = catalog::ObjectKind::Daemons;
     let host = state.settings().host.clone();
     loop {
-        match client.put(kind, host.as_str(), &spec).await {
-            Ok(()) => {
+        match client.put(kind, host.as_str(), spec).await {
+            Ok(era) => {
                 state.metrics.store_call("enlist", "done");
-                log::info!(target: "sardinepaddle", entry = spec; "registered in the store");
-                return;
+                log::info!(target: "sardinepaddle", entry = spec, era; "registered in the store");
+                state.observe_era(era, "store");
+                return era;
             }
             Err(error) => {
                 state.metrics.store_call("enlist", "failed");
@@ -182,12 +222,33 @@
 
     /// Makes one call to the store. Returns whether it reported changes.
     async fn poll(&mut self) -> store::Result<bool> {
-        match self.revision {
+        let era = self.state.store_era();
+        match self.stamp.filter(|stamp| stamp.era >= era) {
             None => self.list().await,
-            Some(revision) => self.watch(revision).await,
+            Some(stamp) => {
+                let mut eras = self.state.subscribe_eras();
+                tokio::select! {
+                    result = self.watch(stamp) => result,
+                    // A watch of an earlier era may not end before its wait.
+                    Ok(_) = eras.wait_for(|era| *era > stamp.era) => {
+                        self.client.disconnect();
+                        Ok(false)
+                    }
+                }
+            }
         }
     }
 
+    /// Records the era that a response states; one of an earlier era is an error.
+    fn check_era(&mut self, era: u64) -> store::Result<()> {
+        if era < self.state.store_era() {
+            self.client.disconnect();
+            return Err(store::StoreError::Outdated);
+        }
+        self.state.observe_era(era, "store");
+        Ok(())
+    }
+
     async fn list(&mut self) -> store::Result<bool> {
         // The first list may be outdated: later changes arrive from other daemons or from a watch.
         let read_age = match self.has_listed {
@@ -195,6 +256,7 @@
             true => store::ReadAge::Newest,
         };
         let batch = self.client.list(self.kind, read_age).await?;
+        self.check_era(batch.era)?;
         self.has_listed = true;
         if read_age == store::ReadAge::Newest {
             self.record_success();
@@ -211,17 +273,24 @@
             .filter(|name| !present.contains(&name.as_str()));
         let missing: Vec<String> = missing.collect();
         let objects = batch.entries.into_iter();
-        let objects = objects.map(|entry| self.replica_object(entry)).collect();
-        self.revision = Some(batch.revision);
+        let objects = objects
+            .map(|entry| self.replica_object(entry, batch.era))
+            .collect();
+        let stamp = replica::ObjectStamp {
+            era: batch.era,
+            revision: batch.revision,
+        };
+        self.stamp = Some(stamp);
         self.state.apply(objects, "store");
         for name in missing {
-            self.remove_or_defer(name, batch.revision);
+            self.remove_or_defer(name, stamp);
         }
         self.state.mark_listed(self.kind);
         Ok(false)
     }
 
-    async fn watch(&mut self, revision: u64) -> store::Result<bool> {
+    async fn watch(&mut self, stamp: replica::ObjectStamp) -> store::Result<bool> {
+        let revision = stamp.revision;
         let requested_at = self.state.now();
         let wait = self.watch_wait();
         let batch = match self.client.watch(self.kind, revision, wait).await {
@@ -231,24 +300,35 @@
                 self.state
                     .metrics
                     .store_call(self.kind.name(), "history_gone");
-                self.revision = None;
+                self.stamp = None;
                 return Ok(false);
             }
             batch => batch?,
         };
+        self.check_era(batch.era)?;
+        if batch.era != stamp.era {
+            self.stamp = None;
+            return Ok(false);
+        }
         let lateness_ms = self.state.now() - requested_at - millis::from_duration(wait);
         self.unreachable = self.unreachable || lateness_ms > LATE_RESPONSE_MS;
         self.record_success();
         self.log_skipped(&batch.skipped);
-        self.revision = Some(batch.revision);
+        self.stamp = Some(replica::ObjectStamp {
+            era: batch.era,
+            revision: batch.revision,
+        });
         let changed = !batch.entries.is_empty();
         let mut objects = Vec::new();
         for event in batch.entries {
             if event.removed {
-                let revision = event.object.revision.max(revision + 1);
-                self.remove_or_defer(event.object.name, revision);
+                let removed = replica::ObjectStamp {
+                    era: batch.era,
+                    revision: event.object.revision.max(revision + 1),
+                };
+                self.remove_or_defer(event.object.name, removed);
             } else {
-                objects.push(self.replica_object(event.object));
+                objects.push(self.replica_object(event.object, batch.era));
             }
         }
         self.state.apply(objects, "store");
@@ -265,38 +345,66 @@
         wait.min(until_due)
     }
 
-    fn replica_object(&mut self, stored: store::StoredObject) -> replica::ReplicaObject {
+    fn replica_object(&mut self, stored: store::StoredObject, era: u64) -> replica::ReplicaObject {
         if self.deferred.remove(&stored.name).is_some() {
-            log::info!(target: "sardinepaddle", endpoint = stored.name, revision = stored.revision;
-                "expired entry is back");
+            log::info!(target: "sardinepaddle", kind = self.kind.name(), entry = stored.name,
+                revision = stored.revision; "expired entry is back");
         }
         replica::ReplicaObject {
             kind: self.kind as u8,
             name: stored.name,
             revision: stored.revision,
             spec: Some(stored.spec),
+            era,
+            version: 0,
         }
     }
 
-    /// Applies a removal, or defers it while it may be caused by an expired entry.
-    fn remove_or_defer(&mut self, name: String, revision: u64) {
-        let apply_at = self.recovered_at + REMOVAL_DEFER_MS;
-        if self.kind == catalog::ObjectKind::Endpoints && self.state.now() < apply_at {
-            log::info!(target: "sardinepaddle", endpoint = name, revision;
-                "entry expired during a store outage: removal deferred");
+    /// Returns until when a removal is deferred, ms: while the entry may have expired during an
+    /// outage, or may have been lost as the store came back from an older copy.
+    fn deferred_until(&self, name: &str, stamp: replica::ObjectStamp) -> f64 {
+        let cache = self.state.cache();
+        let known = cache.object(self.kind, name);
+        let is_lost = known.is_some_and(|known| known.era < stamp.era);
+        let now = self.state.now();
+        match (self.kind, is_lost) {
+            (catalog::ObjectKind::Endpoints, true) => now + REMOVAL_DEFER_MS,
+            (catalog::ObjectKind::Endpoints, false) => self.recovered_at + REMOVAL_DEFER_MS,
+            (catalog::ObjectKind::Emptied, true) => now + LOST_CENTRE_DEFER_MS,
+            (catalog::ObjectKind::Daemons, true) => now + LOST_DAEMON_DEFER_MS,
+            // A configuration stays in force until a newer version replaces it.
+            (catalog::ObjectKind::Config, true) => f64::INFINITY,
+            (_, false) => f64::NEG_INFINITY,
+        }
+    }
+
+    /// Applies a removal, or defers it.
+    fn remove_or_defer(&mut self, name: String, stamp: replica::ObjectStamp) {
+        let deferred = self.deferred.get(&name);
+        let deferred = deferred.filter(|deferred| deferred.stamp.era == stamp.era);
+        let apply_at = match deferred {
+            Some(deferred) => deferred.apply_at,
+            None => self.deferred_until(&name, stamp),
+        };
+        if self.state.now() < apply_at {
+            log::info!(target: "sardinepaddle", kind = self.kind.name(), entry = name,
+                revision = stamp.revision; "entry expired during a store outage: removal deferred");
             self.deferred
-                .insert(name, DeferredRemoval { apply_at, revision });
+                .insert(name, DeferredRemoval { apply_at, stamp });
             return;
         }
-        self.apply_removal(name, revision);
+        self.deferred.remove(&name);
+        self.apply_removal(name, stamp);
     }
 
-    fn apply_removal(&self, name: String, revision: u64) {
+    fn apply_removal(&self, name: String, stamp: replica::ObjectStamp) {
         let object = replica::ReplicaObject {
             kind: self.kind as u8,
             name,
-            revision,
+            revision: stamp.revision,
             spec: None,
+            era: stamp.era,
+            version: 0,
         };
         self.state.apply(vec![object], "store");
     }
@@ -308,14 +416,14 @@
             .deferred
             .iter()
             .filter(|(_, removal)| removal.apply_at <= now);
-        let due: Vec<(String, u64)> = due
-            .map(|(name, removal)| (name.clone(), removal.revision))
+        let due: Vec<(String, replica::ObjectStamp)> = due
+            .map(|(name, removal)| (name.clone(), removal.stamp))
             .collect();
-        for (name, revision) in due {
+        for (name, stamp) in due {
             self.deferred.remove(&name);
-            log::info!(target: "sardinepaddle", endpoint = name, revision;
-                "expired entry did not come back: removing it");
-            self.apply_removal(name, revision);
+            log::info!(target: "sardinepaddle", kind = self.kind.name(), entry = name,
+                revision = stamp.revision; "expired entry did not come back: removing it");
+            self.apply_removal(name, stamp);
         }
     }
 
@@ -323,7 +431,7 @@
         let kind = self.kind.name();
         self.state.metrics.store_call(kind, "done");
         log::debug!(target: "sardinepaddle", kind, leads:% = self.state.watches_store(),
-            revision = self.revision.unwrap_or_default(); "store call succeeded");
+            revision = self.stamp.unwrap_or_default().revision; "store call succeeded");
         self.state.mark_synced(self.kind);
         self.state.set_store_reachable(self.kind, true);
         if self.unreachable {
--- a/crates/model/src/serving.rs
+++ b/crates/model/src/serving.rs
@@ -185,6 +185,9 @@
     pub leaving: bool,
     /// Start time of this incarnation as reported by the endpoint, Unix ms; zero if not reported.
     pub started_ms: u64,
+    /// Number that the endpoint raises with its changes of state; starts anew with each
+    /// incarnation.
+    pub sequence: u64,
 }
 
 /// A daemon as registered by itself.
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -102,6 +102,13 @@
     pub priority: u8,
 }
 
+impl PlacementPlan {
+    /// Returns all endpoints of the plan, the primary first.
+    pub fn members(&self) -> impl Iterator<Item = &PlanMember> {
+        std::iter::once(&self.primary).chain(&self.helpers)
+    }
+}
+
 /// Why a request was not placed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum DeclineReason {
--- a/crates/pool/src/replica.rs
+++ b/crates/pool/src/replica.rs
@@ -6,6 +6,16 @@
 use model::map;
 use serde::{Deserialize, Serialize};
 
+/// Position of a change in the history of the store. The store starts a new era when it comes back
+/// from an older copy of itself, and then assigns revisions again that it had assigned before.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ObjectStamp {
+    /// Era of the store; zero if the store states none.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
 /// An object or its removal, as of a revision of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaObject {
@@ -17,6 +27,30 @@
     pub revision: u64,
     /// Its content; `None` if it was removed.
     pub spec: Option<Bytes>,
+    /// Era of the store to which the revision belongs. Sent beside the object, so that builds
+    /// without eras can decode it.
+    #[serde(skip)]
+    pub era: u64,
+    /// Version that its content states, which precedes the stamp in the order of changes; zero if
+    /// objects of this kind state none. Read from the content, not sent.
+    #[serde(skip)]
+    pub version: u64,
+}
+
+impl ReplicaObject {
+    /// Returns the position of the change in the history of the store.
+    pub fn stamp(&self) -> ObjectStamp {
+        ObjectStamp {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
+    /// Returns the key that orders the changes of one object. A version that was in force before
+    /// the store came back from an older copy stays ahead of the older version in that copy.
+    fn order_key(&self) -> (u64, ObjectStamp) {
+        (self.version, self.stamp())
+    }
 }
 
 /// A copy of the store's objects that numbers its own changes, so that the objects changed after
@@ -34,14 +68,18 @@
     /// ```
     /// use sardinepaddle_pool::replica::{ObjectReplica, ReplicaObject};
     /// let mut replica = ObjectReplica::default();
-    /// let object = ReplicaObject { kind: 0, name: "a".into(), revision: 7, spec: None };
+    /// let object = ReplicaObject {
+    ///     kind: 0, name: "a".into(), revision: 7, spec: None, era: 1, version: 0,
+    /// };
     /// assert!(replica.apply(object.clone()));
-    /// assert!(!replica.apply(object));
+    /// assert!(!replica.apply(object.clone()));
+    /// // The store came back from an older copy, and assigned a lower revision.
+    /// assert!(replica.apply(ReplicaObject { revision: 3, era: 2, ..object }));
     /// ```
     pub fn apply(&mut self, object: ReplicaObject) -> bool {
         let key = (object.kind, object.name.clone());
         if let Some((change, known)) = self.objects.get(&key) {
-            if known.revision >= object.revision {
+            if known.order_key() >= object.order_key() {
                 return false;
             }
             self.by_change.remove(change);
@@ -78,4 +116,10 @@
             .map(|object| object.name.clone())
             .collect()
     }
+
+    /// Returns an object, or its removal.
+    pub fn object(&self, kind: u8, name: &str) -> Option<&ReplicaObject> {
+        let entry = self.objects.get(&(kind, name.to_owned()));
+        entry.map(|(_, object)| object)
+    }
 }
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -23,6 +23,7 @@
         slots: 16,
         leaving: false,
         started_ms: 0,
+        sequence: 0,
     };
     (0..count).map(engine).collect()
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -160,6 +160,7 @@
                 slots: profile.slots,
                 leaving: false,
                 started_ms: 0,
+                sequence: 0,
             })
             .collect();
         placer.set_endpoints(&listed, &[]);
