Look at few engines for a placement, and at waiting prompts less often

Cause: with a queue of prompts, each tick forecast all engines for each prompt and number of members: 73 ms for 64 waiting prompts on 172 engines, 50 times a second.

Change: engines are forecast in the order of a lower bound of their cost until no further one can be cheaper; numbers of members whose gain can't reach what is needed are left out; forecasts without the new prompt are kept until an engine changes; a waiting prompt is evaluated once in 2% of its objective.

--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -72,6 +72,9 @@
 
     /// Returns the expected share of attempts that fail.
     pub fn failure_rate(&self, now: f64) -> f64 {
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let halvings = (now - self.updated_at).max(0.0) / HALF_LIFE_MS;
         self.failure_rate * 0.5_f64.powf(halvings)
     }
--- a/crates/pool/src/members.rs
+++ b/crates/pool/src/members.rs
@@ -20,14 +20,16 @@
 /// Lower limit of the time to the objective by which a wait is divided, ms.
 const MIN_WAIT_DIVISOR_MS: f64 = 100.0;
 
-/// An engine that may become a member of a plan, with the forecasts of its requests.
+/// An engine that may become a member of a plan.
 pub(crate) struct CandidateEngine<'a> {
     pub state: &'a state::EndpointState,
-    /// Forecasts of the requests already there, without the new one.
-    pub forecasts: Vec<passes::JobForecast>,
-    /// Shortest gap objective of the requests that it generates for, ms; `f64::MAX` if there are
-    /// none, zero if one of them has no such objective.
-    pub shortest_gap_ms: f64,
+    /// Part of the ranking cost that doesn't depend on the work on the engine, units of value.
+    pub fixed_cost: f64,
+    /// Earliest time at which a part that several engines share may be prefilled, apart from the
+    /// time of its own prefill, ms.
+    pub shared_start: f64,
+    /// The same for a whole prompt, which queues behind others.
+    pub whole_start: f64,
 }
 
 /// The cost of an engine as a member of a plan.
@@ -42,7 +44,48 @@
     pub value_loss: f64,
 }
 
-impl CandidateEngine<'_> {
+impl<'a> CandidateEngine<'a> {
+    /// Creates the candidate for a request that is sent now.
+    pub fn new(
+        now: f64,
+        state: &'a state::EndpointState,
+        waiting: &state::WaitingRequest,
+        profile: &serving::EngineProfile,
+    ) -> Self {
+        let request = &waiting.request;
+        let mut fixed_cost = state.health.failure_rate(now) * waiting.value;
+        if state.live.centre != request.centre {
+            fixed_cost += CROSS_CENTRE_COST;
+        }
+        if state.shortest_gap_ms() > request.gap_objective_ms {
+            fixed_cost += STRICTER_GAP_COST;
+        }
+        let arrives_at = now + state::ONE_WAY_LATENCY_MS;
+        let start = |shared| state.pass_model.earliest_start(profile, arrives_at, shared);
+        Self {
+            state,
+            fixed_cost,
+            shared_start: start(true),
+            whole_start: start(false),
+        }
+    }
+
+    /// Returns a lower bound of the ranking cost of prefilling a part, units of value.
+    pub fn least_cost(
+        &self,
+        now: f64,
+        waiting: &state::WaitingRequest,
+        part: &passes::PrefillPart,
+    ) -> f64 {
+        let start = if part.shared {
+            self.shared_start
+        } else {
+            self.whole_start
+        };
+        let own_ms = self.state.pass_model.slowdown() * part.tokens * part.ms_per_token;
+        self.fixed_cost + wait_cost(now, waiting, start + own_ms)
+    }
+
     /// Returns the tokens of memory that can still be allocated.
     pub fn free_memory(&self, profile: &serving::EngineProfile) -> u64 {
         self.state.free_memory(profile)
@@ -52,57 +95,37 @@
 impl MemberCost<'_, '_> {
     /// Returns the cost by which engines are ranked, units of value; lower is better.
     pub fn ranking_cost(&self, now: f64, waiting: &state::WaitingRequest) -> f64 {
-        let request = &waiting.request;
-        let remaining_ms = (waiting.objective_at - now).max(MIN_WAIT_DIVISOR_MS);
-        let relative_wait = (self.prefilled_at - now).max(0.0) / remaining_ms;
-        let is_cross_centre = self.candidate.state.live.centre != request.centre;
-        let is_stricter = self.candidate.shortest_gap_ms > request.gap_objective_ms;
-        self.value_loss
-            + self.candidate.state.health.failure_rate(now) * waiting.value
-            + if is_cross_centre {
-                CROSS_CENTRE_COST
-            } else {
-                0.0
-            }
-            + waiting.value * relative_wait.powi(2)
-            + if is_stricter { STRICTER_GAP_COST } else { 0.0 }
+        self.value_loss + self.candidate.fixed_cost + wait_cost(now, waiting, self.prefilled_at)
     }
 }
 
-/// Takes the first `count` of the ranked engines. If none of them has enough free memory for the
-/// prompt, those with the most free memory come first, as many as the prompt needs.
-/// Returns `None` if there are fewer than `count`.
-pub(crate) fn select_members<'v, 'a>(
-    mut ranked: Vec<MemberCost<'v, 'a>>,
-    count: usize,
+/// Returns the cost of the wait until a part is prefilled, units of value.
+fn wait_cost(now: f64, waiting: &state::WaitingRequest, prefilled_at: f64) -> f64 {
+    let remaining_ms = (waiting.objective_at - now).max(MIN_WAIT_DIVISOR_MS);
+    let relative_wait = (prefilled_at - now).max(0.0) / remaining_ms;
+    waiting.value * relative_wait.powi(2)
+}
+
+/// Returns the candidates with the most free memory, as many as a prompt needs; of equal ones those
+/// with the lowest `cost`.
+pub(crate) fn largest_memory<'v, 'a>(
+    candidates: &[&'v CandidateEngine<'a>],
     needed_tokens: u64,
     profile: &serving::EngineProfile,
-) -> Option<Vec<MemberCost<'v, 'a>>> {
-    if ranked.len() < count {
-        return None;
-    }
-    let leading = &ranked[..count];
-    if leading
-        .iter()
-        .all(|cost| cost.candidate.free_memory(profile) < needed_tokens)
-    {
-        let mut by_free_memory: Vec<&CandidateEngine<'_>> =
-            ranked.iter().map(|cost| cost.candidate).collect();
-        by_free_memory.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory(profile)));
-        let mut missing_tokens = needed_tokens;
-        by_free_memory.retain(|candidate| {
-            let is_needed = missing_tokens > 0;
-            missing_tokens = missing_tokens.saturating_sub(candidate.free_memory(profile));
-            is_needed
-        });
-        let is_selected = |cost: &MemberCost<'_, '_>| {
-            let mut others = by_free_memory.iter();
-            others.any(|other| other.state.live.id == cost.candidate.state.live.id)
-        };
-        ranked.sort_by_key(|cost| !is_selected(cost));
-    }
-    ranked.truncate(count);
-    Some(ranked)
+    cost: impl Fn(&CandidateEngine<'_>) -> f64,
+) -> Vec<&'v CandidateEngine<'a>> {
+    let mut by_free_memory = candidates.to_vec();
+    by_free_memory.sort_by(|a, b| {
+        let by_memory = b.free_memory(profile).cmp(&a.free_memory(profile));
+        by_memory.then_with(|| cost(a).total_cmp(&cost(b)))
+    });
+    let mut missing_tokens = needed_tokens;
+    by_free_memory.retain(|candidate| {
+        let is_needed = missing_tokens > 0;
+        missing_tokens = missing_tokens.saturating_sub(candidate.free_memory(profile));
+        is_needed
+    });
+    by_free_memory
 }
 
 /// How the memory of a prompt is divided among its engines.
--- a/crates/pool/src/passes.rs
+++ b/crates/pool/src/passes.rs
@@ -7,6 +7,8 @@
 //! prompt that arrives during a pass waits for the next one. Parts of prompts that are shared with
 //! other engines are prefilled first, newest first; whole prompts follow in order of arrival.
 
+use std::cell;
+
 use model::serving;
 
 use crate::engine;
@@ -73,7 +75,7 @@
     context_tokens: f64,
 }
 
-/// The work of one engine and its running pass, as predicted.
+/// The work of one engine, as predicted.
 ///
 /// ```
 /// use sardinepaddle_pool::{job, passes};
@@ -89,11 +91,19 @@
 /// engine.add_part(part(1, 1));
 /// engine.add_part(part(2, 2));
 /// // The part that is shared with another engine is prefilled first.
-/// let forecast = engine.forecast(&profile, None);
+/// let forecast = engine.forecast(&profile);
 /// assert!(forecast[0].prefilled_at > forecast[1].prefilled_at);
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct PassModel {
+    work: EngineWork,
+    /// Forecast of the work as it is, once it has been needed.
+    forecast: cell::OnceCell<Vec<JobForecast>>,
+}
+
+/// The work of one engine and its running pass.
+#[derive(Clone, Debug)]
+struct EngineWork {
     /// Parts to prefill, the next one first.
     queue: Vec<PrefillPart>,
     /// Parts sent but not queued yet, in the order in which they were sent.
@@ -109,7 +119,7 @@
     slowdown: f64,
 }
 
-impl Default for PassModel {
+impl Default for EngineWork {
     fn default() -> Self {
         Self {
             queue: Vec::new(),
@@ -126,30 +136,52 @@
 impl PassModel {
     /// Sets the factor by which passes take longer than the engine profile predicts.
     pub fn set_slowdown(&mut self, factor: f64) {
-        self.slowdown = factor;
+        if self.work.slowdown != factor {
+            self.work_mut().slowdown = factor;
+        }
+    }
+
+    /// Discards what was computed from the engine profile, which has changed.
+    pub fn reset_profile(&mut self) {
+        self.forecast.take();
+    }
+
+    fn work_mut(&mut self) -> &mut EngineWork {
+        self.forecast.take();
+        &mut self.work
     }
 
     /// Adds a part that was sent to the engine.
     pub fn add_part(&mut self, part: PrefillPart) {
-        self.arriving.push(part);
+        self.work_mut().arriving.push(part);
+    }
+
+    /// Returns whether a pass may begin until `now`.
+    pub fn is_due(&self, now: f64) -> bool {
+        self.work.pass_ends_at <= now && !self.work.is_idle()
     }
 
     /// Runs the passes that begin until `now`.
     pub fn advance(&mut self, profile: &serving::EngineProfile, now: f64) {
-        while self.pass_ends_at <= now && self.begin_pass(profile, now) {}
+        while self.is_due(now) {
+            if !self.work_mut().begin_pass(profile, now) {
+                break;
+            }
+        }
     }
 
     /// Records the first event of a request, whose prompt is thus prefilled. `context_tokens`
     /// holds the size of its context if this engine generates the response.
     pub fn start_generating(&mut self, now: f64, job: job::JobId, context_tokens: Option<f64>) {
-        let was_unfinished = self.remove_parts(job);
+        let work = self.work_mut();
+        let was_unfinished = work.remove_parts(job);
         if was_unfinished {
             // The engine was faster than predicted.
-            self.pass_ends_at = self.pass_ends_at.min(now);
+            work.pass_ends_at = work.pass_ends_at.min(now);
         }
-        let is_known = self.generating.iter().any(|request| request.job == job);
+        let is_known = work.generating.iter().any(|request| request.job == job);
         if let Some(context_tokens) = context_tokens.filter(|_| !is_known) {
-            self.generating.push(GeneratingRequest {
+            work.generating.push(GeneratingRequest {
                 job,
                 context_tokens,
             });
@@ -158,66 +190,116 @@
 
     /// Removes a request that has ended.
     pub fn remove(&mut self, job: job::JobId) {
-        self.remove_parts(job);
-        self.generating.retain(|request| request.job != job);
+        let work = self.work_mut();
+        work.remove_parts(job);
+        work.generating.retain(|request| request.job != job);
     }
 
     /// Returns the number of requests that generate on the engine now or after their prefill.
     pub fn generating_count(&self) -> usize {
-        let parts = self
-            .unfinished_parts()
-            .filter(|part| part.context_tokens.is_some());
-        self.generating.len() + parts.count()
+        let parts = self.work.unfinished_parts();
+        let parts = parts.filter(|part| part.context_tokens.is_some());
+        self.work.generating.len() + parts.count()
     }
 
     /// Returns the prefill time of all parts that were sent to the engine, ms.
     pub fn backlog_ms(&self, now: f64) -> f64 {
-        let parts = self.queue.iter().chain(&self.arriving);
-        let remaining_ms: f64 = parts.map(|part| part.tokens * part.ms_per_token).sum();
-        let remaining_ms = self.slowdown * remaining_ms;
-        let running_ms = match self.completing.is_empty() {
+        let work = &self.work;
+        let running_ms = match work.completing.is_empty() {
             true => 0.0,
-            false => (self.pass_ends_at - now).max(0.0),
+            false => (work.pass_ends_at - now).max(0.0),
         };
-        remaining_ms + running_ms
+        work.unqueued_ms() + running_ms
+    }
+
+    /// Returns the earliest time at which a part that arrives at `arrives_at` may be prefilled, ms,
+    /// apart from the time of its own prefill. A part that is shared with other engines goes ahead of the queue.
+    pub fn earliest_start(
+        &self,
+        profile: &serving::EngineProfile,
+        arrives_at: f64,
+        shared: bool,
+    ) -> f64 {
+        let work = &self.work;
+        let queue_ms = if shared { 0.0 } else { work.unqueued_ms() };
+        let pass_ms = match work.generating.len() {
+            0 => 0.0,
+            count => work.slowdown * engine::pass_ms(profile, count, work.context_tokens()),
+        };
+        work.pass_ends_at.max(arrives_at) + queue_ms + pass_ms
+    }
+
+    /// Returns the factor by which passes take longer than the engine profile predicts.
+    pub fn slowdown(&self) -> f64 {
+        self.work.slowdown
+    }
+
+    /// Predicts the times of all requests on the engine, generating ones first.
+    pub fn forecast(&self, profile: &serving::EngineProfile) -> &[JobForecast] {
+        self.forecast
+            .get_or_init(|| self.work.clone().run_out(profile))
     }
 
     /// Predicts the times of all requests on the engine, generating ones first, if `extra` is sent
     /// to it too; its forecast comes last.
-    pub fn forecast(
+    pub fn forecast_with(
         &self,
         profile: &serving::EngineProfile,
-        extra: Option<PrefillPart>,
+        extra: PrefillPart,
     ) -> Vec<JobForecast> {
-        let mut model = self.clone();
-        let generating = model.generating.iter().map(|request| JobForecast {
+        let mut work = self.work.clone();
+        work.arriving.push(extra);
+        work.run_out(profile)
+    }
+}
+
+impl EngineWork {
+    /// Whether there is nothing to do, now or later.
+    fn is_idle(&self) -> bool {
+        self.generating.is_empty() && self.unfinished_parts().next().is_none()
+    }
+
+    /// Returns the prefill time of the parts that the running pass doesn't complete, ms.
+    fn unqueued_ms(&self) -> f64 {
+        let parts = self.queue.iter().chain(&self.arriving);
+        let remaining_ms: f64 = parts.map(|part| part.tokens * part.ms_per_token).sum();
+        self.slowdown * remaining_ms
+    }
+
+    fn context_tokens(&self) -> u64 {
+        let contexts = self.generating.iter();
+        contexts.map(|request| request.context_tokens).sum::<f64>() as u64
+    }
+
+    /// Runs the passes of all work and returns the times of the requests.
+    fn run_out(mut self, profile: &serving::EngineProfile) -> Vec<JobForecast> {
+        let generating = self.generating.iter().map(|request| JobForecast {
             job: request.job,
             prefilled_at: None,
-            longest_pass_ms: model.pass_ms,
+            longest_pass_ms: self.pass_ms,
         });
-        let mut jobs: Vec<JobForecast> = generating.collect();
-        model.arriving.extend(extra);
-        jobs.extend(model.unfinished_parts().map(|part| JobForecast {
+        let parts = self.unfinished_parts().map(|part| JobForecast {
             job: part.job,
             prefilled_at: None,
             longest_pass_ms: 0.0,
-        }));
+        });
+        let mut jobs: Vec<JobForecast> = generating.chain(parts).collect();
         for _ in 0..MAX_FORECAST_PASSES {
-            let all_prefilled = model.unfinished_parts().next().is_none();
-            if !model.begin_pass(profile, f64::MAX) {
+            let all_prefilled = self.unfinished_parts().next().is_none();
+            if !self.begin_pass(profile, f64::MAX) {
                 break;
             }
-            model.record_pass(&mut jobs);
+            self.record_pass(&mut jobs);
             if all_prefilled {
                 break;
             }
         }
         // Parts not prefilled within these passes are assumed to follow directly after them.
-        for part in model.unfinished_parts() {
+        for part in self.unfinished_parts() {
             set_prefilled_at(
                 &mut jobs,
                 part.job,
-                model.pass_ends_at + part.tokens * part.ms_per_token,
+                self.pass_ends_at + part.tokens * part.ms_per_token,
             );
         }
         jobs
@@ -312,12 +394,7 @@
     }
 
     fn run_generation_pass(&mut self, profile: &serving::EngineProfile) {
-        let context_tokens: f64 = self
-            .generating
-            .iter()
-            .map(|request| request.context_tokens)
-            .sum();
-        let mut pass_ms = engine::pass_ms(profile, self.generating.len(), context_tokens as u64);
+        let mut pass_ms = engine::pass_ms(profile, self.generating.len(), self.context_tokens());
         let mut token_budget = f64::from(profile.stride) * f64::from(profile.chunk_tokens);
         while let Some(part) = self.queue.first_mut().filter(|_| token_budget > 0.0) {
             let tokens = part.tokens.min(token_budget);
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -43,8 +43,8 @@
 /// Waiting requests evaluated in one tick at most: evaluating all of them in every tick would take
 /// the time needed to place them.
 const MAX_EVALUATED_PER_TICK: usize = 64;
-/// Time for which a request may wait past its objective, as a share of the objective.
-const LATE_WAIT_SHARE: f64 = 0.1;
+/// Interval at which a waiting request is evaluated, as a share of its objective.
+const EVALUATION_SHARE: f64 = 0.02;
 /// Shortest and longest retry delay sent with a declined request, ms.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (400, 1_600);
 /// Assumed duration of a plain call until one has completed, ms.
@@ -118,7 +118,13 @@
         &mut self,
         services: &map::HashMap<ids::ServiceId, sync::Arc<serving::ServiceProfile>>,
     ) {
+        if self.services == *services {
+            return;
+        }
         self.services.clone_from(services);
+        for state in self.endpoints.values_mut() {
+            state.pass_model.reset_profile();
+        }
     }
 
     /// Replaces the list of endpoints and of data centres closed to new requests.
@@ -196,6 +202,7 @@
             value,
             cost_weight,
             submitted_at: now,
+            evaluate_at: now,
             objective_at: now + request.objective_remaining_ms,
             deadline_at: now + request.remaining_ms,
             min_latency_ms: self.min_latency_ms(&request),
@@ -270,7 +277,7 @@
             let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
                 continue;
             };
-            state.jobs.retain(|other| *other != id);
+            state.remove_job(id);
             state.used_memory = state.used_memory.saturating_sub(usage.memory_tokens);
             state.pass_model.remove(id);
             let is_at_fault = match &outcome.at_fault {
@@ -299,10 +306,16 @@
             request.value / (request.cost_weight * request.min_latency_ms).max(1.0)
         };
         waiting.sort_by(|a, b| value_density(b).total_cmp(&value_density(a)));
-        for (position, request) in waiting.into_iter().enumerate() {
-            let deferred = position >= MAX_EVALUATED_PER_TICK
-                && now + request.min_latency_ms < request.deadline_at;
-            if deferred || !self.try_decide(now, &request) {
+        let mut evaluated = 0;
+        for mut request in waiting {
+            let is_due = now >= request.evaluate_at && evaluated < MAX_EVALUATED_PER_TICK;
+            if !is_due && !request.is_unservable(now) {
+                self.waiting.push(request);
+                continue;
+            }
+            evaluated += 1;
+            if !self.try_decide(now, &request) {
+                request.evaluate_at = now + EVALUATION_SHARE * request.request.full_objective_ms;
                 self.waiting.push(request);
             }
         }
@@ -341,13 +354,6 @@
 
     /// Places or declines a request; returns `false` if it has to wait.
     fn try_decide(&mut self, now: f64, waiting: &state::WaitingRequest) -> bool {
-        let scored_plan = match self.best_plan(now, waiting) {
-            Ok(scored_plan) => scored_plan,
-            Err(reason) => {
-                self.decline(waiting.job, reason);
-                return true;
-            }
-        };
         let slack_ms = waiting.objective_at - now - waiting.min_latency_ms;
         let waited_ms = now - waiting.submitted_at;
         let selective_ms = SELECTIVITY_DECAY_SHARE * waiting.request.full_objective_ms;
@@ -357,16 +363,21 @@
             0.0
         };
         let min_gain = MIN_GAIN_SHARE * selectivity.max(0.0) * waiting.value;
-        let gains_enough = |scored_plan: &prompt_search::ScoredPlan| scored_plan.gain > min_gain;
-        if let Some(scored_plan) = scored_plan.filter(gains_enough) {
+        let scored_plan = match self.best_plan(now, waiting, min_gain) {
+            Ok(scored_plan) => scored_plan,
+            Err(reason) => {
+                self.decline(waiting.job, reason);
+                return true;
+            }
+        };
+        if let Some(scored_plan) = scored_plan {
             let predicted_ms = scored_plan.plan.predicted_ms;
             self.place(now, waiting, scored_plan.usages, predicted_ms);
             let decision = job::PlacementDecision::Placed(scored_plan.plan);
             self.decisions.push((waiting.job, decision));
             return true;
         }
-        let late_until = waiting.objective_at + LATE_WAIT_SHARE * waiting.request.full_objective_ms;
-        let unservable = now + waiting.min_latency_ms > late_until.min(waiting.deadline_at);
+        let unservable = waiting.is_unservable(now);
         if unservable {
             self.decline(waiting.job, job::DeclineReason::Overloaded);
         }
@@ -440,6 +451,7 @@
         &self,
         now: f64,
         waiting: &state::WaitingRequest,
+        min_gain: f64,
     ) -> Result<Option<prompt_search::ScoredPlan>, job::DeclineReason> {
         let request = &waiting.request;
         let profile = self.services.get(&request.service);
@@ -466,9 +478,12 @@
                 if tokens + request.kind.answer_tokens() > memory * holders {
                     return Err(job::DeclineReason::TooLarge);
                 }
-                Ok(self.best_prompt_plan(now, waiting, engine, &usable))
+                Ok(self.best_prompt_plan(now, waiting, engine, &usable, min_gain))
+            }
+            _ => {
+                let plan = self.best_call_plan(now, waiting, &usable);
+                Ok(plan.filter(|plan| plan.gain > min_gain))
             }
-            _ => Ok(self.best_call_plan(now, waiting, &usable)),
         }
     }
 
@@ -541,6 +556,7 @@
         waiting: &state::WaitingRequest,
         profile: &serving::EngineProfile,
         usable: &[&state::EndpointState],
+        min_gain: f64,
     ) -> Option<prompt_search::ScoredPlan> {
         let search = prompt_search::PromptSearch {
             now,
@@ -549,11 +565,7 @@
             jobs: &self.jobs,
             price_per_ms: self.engine_price_per_ms(now, &waiting.request.service),
         };
-        let candidates = usable.iter().copied();
-        let candidates: Vec<members::CandidateEngine<'_>> = candidates
-            .map(|state| prompt_search::candidate(state, profile, &self.jobs))
-            .collect();
-        search.best_plan(&candidates)
+        search.best_plan(usable, min_gain)
     }
 
     /// Returns the price of a ms of engine time, which rises with the mean backlog.
@@ -618,11 +630,12 @@
         usages: Vec<state::MemberUsage>,
         predicted_ms: f64,
     ) {
-        for usage in &usages {
+        let gap_objective_ms = waiting.request.gap_objective_ms;
+        for (position, usage) in usages.iter().enumerate() {
             let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
                 continue;
             };
-            state.jobs.push(waiting.job);
+            state.add_job(waiting.job, (position == 0).then_some(gap_objective_ms));
             state.used_memory += usage.memory_tokens;
             if let Some(part) = usage.part {
                 state.pass_model.add_part(part);
@@ -666,7 +679,7 @@
         };
         let members = job.members.iter();
         let engines = members.filter_map(|usage| self.endpoints.get(&usage.endpoint));
-        let forecasts = engines.flat_map(|state| state.pass_model.forecast(engine, None));
+        let forecasts = engines.flat_map(|state| state.pass_model.forecast(engine).to_vec());
         for forecast in forecasts.collect::<Vec<_>>() {
             let Some(job) = self.jobs.get_mut(&forecast.job) else {
                 continue;
@@ -681,9 +694,12 @@
     /// Advances the predicted passes of all engines to `now`.
     fn advance(&mut self, now: f64) {
         for state in self.endpoints.values_mut() {
+            state.pass_model.set_slowdown(state.slowdown.factor(now));
+            if !state.pass_model.is_due(now) {
+                continue;
+            }
             let profile = self.services.get(&state.live.service);
             if let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) {
-                state.pass_model.set_slowdown(state.slowdown.factor(now));
                 state.pass_model.advance(engine, now);
             }
         }
--- a/crates/pool/src/prompt_search.rs
+++ b/crates/pool/src/prompt_search.rs
@@ -1,5 +1,7 @@
 //! Searches for the engines that prefill a prompt, and for how many of them.
 
+use std::cmp;
+
 use model::map;
 use model::serving;
 
@@ -16,6 +18,8 @@
 /// Minimum size of a part, tokens, which takes two steps to prefill: smaller parts cost a helper
 /// more time than they save.
 const MIN_PART_TOKENS: u64 = 4_096;
+/// Number of engines sorted by their least cost at once, beside two for each member.
+const MIN_SORTED_CANDIDATES: usize = 14;
 
 /// A plan with the resources that it uses and its expected gain, units of value.
 #[derive(Clone, Debug)]
@@ -28,6 +32,55 @@
 /// Placed requests by job id.
 pub(crate) type PlacedJobs = map::HashMap<job::JobId, state::PlacedJob>;
 
+/// Orders engines by cost, and those of equal cost by their place in the list: the first ones get
+/// the short prompts, and the last ones stay free for long prompts.
+#[derive(Clone, Copy)]
+struct RankKey {
+    cost: f64,
+    index: usize,
+}
+
+impl RankKey {
+    fn compare(&self, other: &Self) -> cmp::Ordering {
+        let by_cost = self.cost.total_cmp(&other.cost);
+        by_cost.then(self.index.cmp(&other.index))
+    }
+}
+
+/// The earliest times at which engines may prefill a part of a prompt, ms.
+struct EarliestStarts {
+    /// Of a whole prompt.
+    whole: f64,
+    /// Of a part that several engines share, earliest first, of as many as one prompt may have.
+    shared: Vec<f64>,
+}
+
+impl EarliestStarts {
+    fn new(candidates: &[&members::CandidateEngine<'_>]) -> Self {
+        let whole = candidates.iter().map(|candidate| candidate.whole_start);
+        let shared = candidates.iter().map(|candidate| candidate.shared_start);
+        let mut shared: Vec<f64> = shared.collect();
+        let most = MEMBER_COUNTS.last().copied().unwrap_or(1);
+        if shared.len() > most {
+            shared.select_nth_unstable_by(most, f64::total_cmp);
+            shared.truncate(most);
+        }
+        shared.sort_by(f64::total_cmp);
+        Self {
+            whole: whole.fold(f64::MAX, f64::min),
+            shared,
+        }
+    }
+
+    /// Returns the time at which the last of a number of engines may start.
+    fn of_members(&self, member_count: usize) -> f64 {
+        match member_count {
+            1 => self.whole,
+            count => self.shared.get(count - 1).copied().unwrap_or(f64::MAX),
+        }
+    }
+}
+
 /// The search for the best plan of one prompt.
 pub(crate) struct PromptSearch<'a> {
     pub now: f64,
@@ -44,44 +97,72 @@
     max_count.max(1)
 }
 
-/// Returns an engine with the forecasts of its requests.
-pub(crate) fn candidate<'a>(
-    state: &'a state::EndpointState,
-    profile: &serving::EngineProfile,
-    jobs: &PlacedJobs,
-) -> members::CandidateEngine<'a> {
-    let generating_jobs = state.jobs.iter().filter_map(|id| jobs.get(id));
-    let generating_jobs = generating_jobs.filter(|job| {
-        let primary = job.members.first();
-        primary.is_some_and(|usage| usage.endpoint == state.live.id)
-    });
-    members::CandidateEngine {
-        state,
-        forecasts: state.pass_model.forecast(profile, None),
-        shortest_gap_ms: generating_jobs
-            .map(|job| job.gap_objective_ms)
-            .fold(f64::MAX, f64::min),
-    }
-}
-
 impl PromptSearch<'_> {
-    /// Returns the plan with the highest gain over all numbers of engines.
-    pub fn best_plan(&self, candidates: &[members::CandidateEngine<'_>]) -> Option<ScoredPlan> {
+    /// Returns the plan with the highest gain over all numbers of engines, if it is above
+    /// `min_gain`.
+    pub fn best_plan(&self, usable: &[&state::EndpointState], min_gain: f64) -> Option<ScoredPlan> {
         let job::JobKind::Prompt { tokens, .. } = self.waiting.request.kind else {
             return None;
         };
+        let with_room = usable.iter().filter(|state| state.has_free_slot());
+        let candidates = with_room.map(|state| {
+            members::CandidateEngine::new(self.now, state, self.waiting, self.profile)
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let candidates: Vec<_> = candidates.iter().collect();
         let max_count = max_members(tokens).min(candidates.len());
-        let member_counts = MEMBER_COUNTS
-            .iter()
-            .filter(|member_count| **member_count <= max_count);
-        let plans = member_counts
-            .filter_map(|member_count| self.plan_for_member_count(candidates, *member_count));
-        plans.max_by(|a, b| a.gain.total_cmp(&b.gain))
+        let starts = EarliestStarts::new(&candidates);
+        let mut best: Option<ScoredPlan> = None;
+        for member_count in MEMBER_COUNTS
+            .into_iter()
+            .filter(|count| *count <= max_count)
+        {
+            let most_gain = self.most_gain(&starts, member_count);
+            let best_gain = best.as_ref().map_or(f64::NEG_INFINITY, |best| best.gain);
+            if most_gain <= min_gain || most_gain < best_gain {
+                continue;
+            }
+            let plan = self.plan_for_member_count(&candidates, member_count);
+            best = plan.filter(|plan| plan.gain >= best_gain).or(best);
+        }
+        best.filter(|best| best.gain > min_gain)
+    }
+
+    /// Returns an upper bound of the gain with a number of engines: that with the engines that can
+    /// start first, if no other request lost any value.
+    fn most_gain(&self, starts: &EarliestStarts, member_count: usize) -> f64 {
+        let waiting = self.waiting;
+        let tokens = waiting.request.kind.prompt_tokens();
+        let part =
+            passes::PrefillPart::new(self.profile, waiting.job, tokens, member_count, self.now);
+        let prefilled_at = starts.of_members(member_count) + part.tokens * part.ms_per_token;
+        let first_event_ms = prefilled_at - self.now + state::ONE_WAY_LATENCY_MS;
+        let share = self.first_event_risk(first_event_ms).expected_share();
+        waiting.value * share - self.engine_price(member_count)
+    }
+
+    /// Returns the price of the engine time that a number of engines spend on the prompt.
+    fn engine_price(&self, member_count: usize) -> f64 {
+        let tokens = self.waiting.request.kind.prompt_tokens();
+        let prefill_ms =
+            engine::prefill_ms(self.profile, tokens, member_count) * member_count as f64;
+        self.waiting.cost_weight * self.price_per_ms * prefill_ms
+    }
+
+    /// Returns the risk of a first event after `first_event_ms`.
+    fn first_event_risk(&self, first_event_ms: f64) -> risk::JobRisk {
+        let waiting = self.waiting;
+        let client_leaves_ms =
+            (waiting.deadline_at - self.now).min(waiting.request.abandon_after_ms);
+        risk::JobRisk {
+            late: risk::overrun_probability(first_event_ms, waiting.objective_at - self.now),
+            abandoned: risk::overrun_probability(first_event_ms, client_leaves_ms),
+        }
     }
 
     fn plan_for_member_count(
         &self,
-        candidates: &[members::CandidateEngine<'_>],
+        candidates: &[&members::CandidateEngine<'_>],
         member_count: usize,
     ) -> Option<ScoredPlan> {
         let waiting = self.waiting;
@@ -100,16 +181,7 @@
         } else {
             helper_part
         };
-        let costs = candidates
-            .iter()
-            .filter(|candidate| candidate.state.has_free_slot());
-        let mut costs: Vec<(f64, members::MemberCost<'_, '_>)> = costs
-            .map(|candidate| self.member_cost(candidate, part))
-            .map(|cost| (cost.ranking_cost(self.now, waiting), cost))
-            .collect();
-        costs.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let ranked = costs.into_iter().map(|(_, cost)| cost).collect();
-        let members = members::select_members(ranked, member_count, needed_tokens, self.profile)?;
+        let members = self.select_members(candidates, member_count, needed_tokens, part)?;
         let primary_cost = |candidate: &members::CandidateEngine<'_>| {
             let cost = self.member_cost(candidate, primary_part);
             let gap_overrun = risk::overrun_probability(
@@ -133,25 +205,16 @@
         }
         let first_event_ms = prefilled_at - self.now + state::ONE_WAY_LATENCY_MS;
         let request = &waiting.request;
-        let risk = risk::JobRisk {
-            late: risk::overrun_probability(first_event_ms, waiting.objective_at - self.now),
-            abandoned: risk::overrun_probability(
-                first_event_ms,
-                (waiting.deadline_at - self.now).min(request.abandon_after_ms),
-            ),
-        };
         let gap_risk = risk::JobRisk::from_gaps(
             primary.longest_pass_ms,
             request.gap_objective_ms,
             request.abandon_after_ms,
         );
-        let risk = risk.max(gap_risk);
+        let risk = self.first_event_risk(first_event_ms).max(gap_risk);
         let mean_failure_rate = failure_rate_sum / member_count as f64;
-        let prefill_ms =
-            engine::prefill_ms(self.profile, tokens, member_count) * member_count as f64;
         let gain = waiting.value * (risk.expected_share() - mean_failure_rate)
             - waiting.cost_weight.sqrt() * value_loss
-            - waiting.cost_weight * self.price_per_ms * prefill_ms;
+            - self.engine_price(member_count);
 
         let usage =
             |candidate: &members::CandidateEngine<'_>, part, memory_tokens| state::MemberUsage {
@@ -177,18 +240,99 @@
         Some(ScoredPlan { plan, usages, gain })
     }
 
+    /// Returns the `count` engines with the lowest ranking cost, lowest first. If none of them has
+    /// enough free memory for the prompt, those with the most free memory come first, as many as
+    /// the prompt needs. Returns `None` if there are fewer than `count`.
+    fn select_members<'v, 'a>(
+        &self,
+        candidates: &[&'v members::CandidateEngine<'a>],
+        count: usize,
+        needed_tokens: u64,
+        part: passes::PrefillPart,
+    ) -> Option<Vec<members::MemberCost<'v, 'a>>> {
+        let leading = self.cheapest(candidates, count, part)?;
+        let has_room = |cost: &members::MemberCost<'_, '_>| {
+            cost.candidate.free_memory(self.profile) >= needed_tokens
+        };
+        if leading.iter().any(has_room) {
+            return Some(leading);
+        }
+        let least_cost = |candidate: &members::CandidateEngine<'_>| {
+            candidate.least_cost(self.now, self.waiting, &part)
+        };
+        let largest = members::largest_memory(candidates, needed_tokens, self.profile, least_cost);
+        let mut members = self.cheapest(&largest, count.min(largest.len()), part)?;
+        let others = leading.into_iter().filter(|cost| {
+            let mut largest = largest.iter();
+            !largest.any(|other| std::ptr::eq(*other, cost.candidate))
+        });
+        members.extend(others);
+        members.truncate(count);
+        Some(members)
+    }
+
+    /// Returns the `count` engines with the lowest ranking cost, lowest first. Engines are
+    /// forecast in the order of a lower bound of their cost, until no further one can be cheaper.
+    fn cheapest<'v, 'a>(
+        &self,
+        candidates: &[&'v members::CandidateEngine<'a>],
+        count: usize,
+        part: passes::PrefillPart,
+    ) -> Option<Vec<members::MemberCost<'v, 'a>>> {
+        if candidates.len() < count {
+            return None;
+        }
+        let bounds = candidates.iter().enumerate();
+        let bounds = bounds.map(|(index, candidate)| {
+            let least_cost = candidate.least_cost(self.now, self.waiting, &part);
+            RankKey {
+                cost: least_cost,
+                index,
+            }
+        });
+        let mut bounds: Vec<RankKey> = bounds.collect();
+        let mut cheapest: Vec<(RankKey, members::MemberCost<'_, '_>)> =
+            Vec::with_capacity(count + 1);
+        let mut sorted_count = 0;
+        for position in 0..bounds.len() {
+            if position == sorted_count {
+                // Sorts only as many as are likely to be needed.
+                let rest = &mut bounds[sorted_count..];
+                let batch = (2 * count + MIN_SORTED_CANDIDATES).min(rest.len());
+                if batch < rest.len() {
+                    rest.select_nth_unstable_by(batch, RankKey::compare);
+                }
+                rest[..batch].sort_unstable_by(RankKey::compare);
+                sorted_count += batch;
+            }
+            let bound = bounds[position];
+            let is_full = cheapest.len() == count;
+            let highest = cheapest.last().filter(|_| is_full);
+            if highest.is_some_and(|(highest, _)| bound.compare(highest).is_gt()) {
+                break;
+            }
+            let cost = self.member_cost(candidates[bound.index], part);
+            let key = RankKey {
+                cost: cost.ranking_cost(self.now, self.waiting),
+                index: bound.index,
+            };
+            let rank = cheapest.partition_point(|(other, _)| other.compare(&key).is_lt());
+            cheapest.insert(rank, (key, cost));
+            cheapest.truncate(count);
+        }
+        Some(cheapest.into_iter().map(|(_, cost)| cost).collect())
+    }
+
     /// Returns the cost of prefilling `part` on an engine.
     fn member_cost<'v, 'a>(
         &self,
         candidate: &'v members::CandidateEngine<'a>,
         part: passes::PrefillPart,
     ) -> members::MemberCost<'v, 'a> {
-        let after = candidate
-            .state
-            .pass_model
-            .forecast(self.profile, Some(part));
+        let pass_model = &candidate.state.pass_model;
+        let after = pass_model.forecast_with(self.profile, part);
         let own_forecast = after.last();
-        let pairs = candidate.forecasts.iter().zip(&after);
+        let pairs = pass_model.forecast(self.profile).iter().zip(&after);
         let value_loss = pairs.filter_map(|(before, after)| {
             let job = self.jobs.get(&before.job)?;
             Some(job.value_loss(self.now, before, after))
--- a/crates/pool/src/slowdown.rs
+++ b/crates/pool/src/slowdown.rs
@@ -47,6 +47,9 @@
 
     /// Returns the factor at `now`.
     pub fn factor(&self, now: f64) -> f64 {
+        if self.factor == 1.0 {
+            return 1.0;
+        }
         let halvings = (now - self.updated_at).max(0.0) / HALF_LIFE_MS;
         1.0 + (self.factor - 1.0) * 0.5_f64.powf(halvings)
     }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -14,6 +14,9 @@
 /// One-way latency between a daemon and an endpoint, with the daemon's processing time, ms.
 pub(crate) const ONE_WAY_LATENCY_MS: f64 = 6.0;
 
+/// Time for which a request may wait past its objective, as a share of the objective.
+const LATE_WAIT_SHARE: f64 = 0.1;
+
 /// Share of an engine's memory that the placer allocates; the rest covers responses that are longer
 /// than estimated.
 const ALLOCATABLE_SHARE: f64 = 0.95;
@@ -37,6 +40,8 @@
     /// Tokens of memory allocated to its jobs.
     pub used_memory: u64,
     pub jobs: Vec<job::JobId>,
+    /// Gap objectives of the requests that it generates for, ms; zero for those that have none.
+    gap_objectives: Vec<(job::JobId, f64)>,
     pub health: health::EndpointHealth,
     /// Times of the requests sent to it within the last second.
     pub send_times: collections::VecDeque<f64>,
@@ -79,12 +84,22 @@
     /// Weight of its costs when plans are compared; see `JobPlacer::cost_weight`.
     pub cost_weight: f64,
     pub submitted_at: f64,
+    /// Time of the next search for a plan.
+    pub evaluate_at: f64,
     pub objective_at: f64,
     pub deadline_at: f64,
     /// Time to its first event on idle endpoints, ms.
     pub min_latency_ms: f64,
 }
 
+impl WaitingRequest {
+    /// Returns whether no plan can serve it any more.
+    pub fn is_unservable(&self, now: f64) -> bool {
+        let late_until = self.objective_at + LATE_WAIT_SHARE * self.request.full_objective_ms;
+        now + self.min_latency_ms > late_until.min(self.deadline_at)
+    }
+}
+
 impl EndpointState {
     /// Creates the state of an endpoint without jobs.
     pub fn new(live: serving::LiveEndpoint) -> Self {
@@ -96,6 +111,7 @@
             slowdown: slowdown::EngineSlowdown::default(),
             used_memory: 0,
             jobs: Vec::new(),
+            gap_objectives: Vec::new(),
             health: health::EndpointHealth::default(),
             send_times: collections::VecDeque::new(),
         }
@@ -114,6 +130,26 @@
         generating < slots && self.jobs.len() - generating.min(self.jobs.len()) < slots
     }
 
+    /// Adds a job; `gap_objective_ms` is given if the endpoint generates its response.
+    pub fn add_job(&mut self, job: job::JobId, gap_objective_ms: Option<f64>) {
+        self.jobs.push(job);
+        let gap_objective = gap_objective_ms.map(|gap_ms| (job, gap_ms));
+        self.gap_objectives.extend(gap_objective);
+    }
+
+    /// Removes a job that has ended.
+    pub fn remove_job(&mut self, job: job::JobId) {
+        self.jobs.retain(|other| *other != job);
+        self.gap_objectives.retain(|(other, _)| *other != job);
+    }
+
+    /// Returns the shortest gap objective of the requests that it generates for, ms; `f64::MAX` if
+    /// there are none, zero if one of them has no such objective.
+    pub fn shortest_gap_ms(&self) -> f64 {
+        let gaps = self.gap_objectives.iter().map(|(_, gap_ms)| *gap_ms);
+        gaps.fold(f64::MAX, f64::min)
+    }
+
     /// Returns the number of requests sent to it after `since`.
     pub fn sends_since(&self, since: f64) -> f64 {
         let recent = self.send_times.iter().rev().take_while(|at| **at > since);
--- a/crates/pool/tests/passes.rs
+++ b/crates/pool/tests/passes.rs
@@ -31,10 +31,10 @@
     engine.add_part(part(1, 126_061, 2, 4_175.0));
     engine.advance(&profile, 4_989.0);
     engine.add_part(part(2, 325_658, 10, 4_989.0));
-    let forecast = engine.forecast(&profile, None);
+    let forecast = engine.forecast(&profile);
     let measured = [(1, 6_461.0), (2, 6_263.0)];
     for (number, measured_at) in measured {
-        let predicted = prefilled_at(&forecast, number);
+        let predicted = prefilled_at(forecast, number);
         assert!(
             (predicted - measured_at).abs() < 110.0,
             "{number}: {predicted} for {measured_at}"
@@ -48,9 +48,9 @@
     let mut engine = passes::PassModel::default();
     engine.add_part(part(1, 74_121, 1, 0.0));
     engine.add_part(part(2, 5_000, 1, 0.0));
-    let forecast = engine.forecast(&profile, None);
-    assert!((prefilled_at(&forecast, 1) - 958.0).abs() < 10.0);
-    assert!(prefilled_at(&forecast, 2) > prefilled_at(&forecast, 1));
+    let forecast = engine.forecast(&profile);
+    assert!((prefilled_at(forecast, 1) - 958.0).abs() < 10.0);
+    assert!(prefilled_at(forecast, 2) > prefilled_at(forecast, 1));
 }
 
 #[test]
@@ -66,8 +66,8 @@
         Some(5_000.0),
     );
     engine.advance(&profile, 10.0);
-    let without_prefill = engine.forecast(&profile, None);
-    let with_prefill = engine.forecast(&profile, Some(part(2, 45_000, 1, 11.0)));
+    let without_prefill = engine.forecast(&profile);
+    let with_prefill = engine.forecast_with(&profile, part(2, 45_000, 1, 11.0));
     assert!(
         without_prefill[0].longest_pass_ms < 60.0,
         "{without_prefill:?}"
