Agree on a placer at the start, and leave circles of daemons that follow each other

Change: a daemon that is told of a placer follows those that this one follows, and in a circle selects the first in rank. Daemons that are starting are tried again after 250 ms, and in its first second a daemon waits for those that are ranked before the first ready one. At most eight are contacted in vain in one selection.

--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -1,10 +1,20 @@
 //! Selection of the placer: the daemon that chooses the endpoints for the requests of all daemons.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::support;
 use crate::support::RunningDaemon;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use gateway::message;
+use gateway::message::PlacementMessage;
+use model::ids;
+use platform_fakes::endpoint::EndpointScript;
+use platform_fakes::store::FakeObjectStore;
 use serde_json::Value;
+use serde_json::json;
+use tokio_util::codec::Decoder;
 
 /// Time within which another daemon would have taken over: the selection runs at least once a
 /// second.
@@ -86,3 +96,105 @@
     let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
     counts.sum::<f64>() as u64
 }
+
+/// Number of daemons started at once.
+const STARTED_AT_ONCE: usize = 12;
+/// Number of these on hosts with more processor time.
+const LARGE_HOSTS: usize = 2;
+/// Most selections of a daemon until all have the same placer.
+const MAX_SELECTIONS: usize = 3;
+
+/// Returns the number of times that a daemon selected a placer.
+fn selection_count(daemon: &RunningDaemon) -> usize {
+    daemon.log().matches("\"placer selected\"").count()
+}
+
+// Guards against a storm of selections at the start: daemons followed whichever was ready first, on
+// whichever host, and then moved up to eight times.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_start_at_once_agree_on_a_large_host() {
+    let store = FakeObjectStore::start().await;
+    store.put(
+        "config",
+        "main",
+        support::config(1, &support::default_routes()),
+    );
+    support::start_endpoints(&store, &[EndpointScript::Respond]).await;
+    let daemons: Vec<_> = (0..STARTED_AT_ONCE)
+        .map(|index| {
+            let cpu_share = if index < LARGE_HOSTS { 0.5 } else { 0.12 };
+            RunningDaemon::start_at_once(&store, &format!("h{index}"), cpu_share)
+        })
+        .collect();
+    for daemon in &daemons {
+        daemon.wait_ready();
+    }
+    let common_placer = || {
+        let mut placers: Vec<_> = daemons
+            .iter()
+            .filter_map(|daemon| placer(daemon, 0))
+            .collect();
+        let all_selected = placers.len() >= STARTED_AT_ONCE - 1;
+        placers.dedup();
+        (placers.len() == 1 && all_selected).then(|| placers.remove(0))
+    };
+    RunningDaemon::wait_for("a common placer", || common_placer().is_some());
+    std::thread::sleep(TAKEOVER_WINDOW);
+    let placer = common_placer().unwrap();
+    assert!(["h0", "h1"].contains(&placer.as_str()), "{placer}");
+    for daemon in &daemons {
+        assert!(selection_count(daemon) <= MAX_SELECTIONS);
+    }
+}
+
+/// Answers the hellos of other daemons as a daemon that follows `placer`.
+async fn start_follower_of(host: &'static str, placer: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hello = PlacementMessage::Hello {
+        host: ids::HostId::new(host),
+        incarnation: 1,
+        status: message::PlacerStatus::Ready,
+        placer: Some(ids::HostId::new(placer)),
+    };
+    let hello = message::encode(&hello, 0).unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let hello = hello.clone();
+            tokio::spawn(async move {
+                let mut framed = message::frame_codec().framed(stream);
+                let sent = framed.send(hello).await;
+                // Stays connected until the daemon closes the connection.
+                while sent.is_ok() && framed.next().await.is_some() {}
+            });
+        }
+    });
+    address
+}
+
+// Guards against daemons that follow each other in a circle: each of them placed for its own
+// followers, on a small host and with a part of the requests in view, and told them about the next
+// one for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_does_not_follow_one_that_follows_it_in_turn() {
+    let store = FakeObjectStore::start().await;
+    store.put(
+        "config",
+        "main",
+        support::config(1, &support::default_routes()),
+    );
+    for (host, placer) in [("fake-1", "fake-2"), ("fake-2", "h1")] {
+        let address = start_follower_of(host, placer).await;
+        let entry = json!({"host": host, "centre": "a", "address": address.to_string(),
+            "cpu_millis": 500});
+        store.put("sardinepaddle-daemons", host, entry);
+    }
+    let daemon = RunningDaemon::start(&store, "h1");
+    daemon.wait_ready();
+    RunningDaemon::wait_for("the circle", || {
+        daemon.log().contains("daemons follow each other")
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let selected = placer(&daemon, 0);
+    assert!(selected.is_none_or(|host| host == "h1"));
+}
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -66,26 +66,37 @@
 
     /// Starts the daemon of a host that reaches the store at an address.
     pub fn start_with_store(store: net::SocketAddr, host: &str) -> Self {
+        let daemon = Self::spawn_with(store, host, 1.0);
+        let clients = daemon.clients;
+        Self::wait_for("the client listener", || {
+            net::TcpStream::connect(clients).is_ok()
+        });
+        daemon
+    }
+
+    /// Starts the daemon of a host with a share of a core, without waiting for it.
+    pub fn start_at_once(store: &FakeObjectStore, host: &str, cpu_share: f64) -> Self {
+        Self::spawn_with(store.address(), host, cpu_share)
+    }
+
+    fn spawn_with(store: net::SocketAddr, host: &str, cpu_share: f64) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
         let text = format!(
             "host: {host}\ndata_centre: a\nlisten: {{ callers: '{clients}', readiness: '{readiness}', \
-             peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n",
+             peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n\
+             cpu_share: {cpu_share}\n",
             store
         );
         std::fs::write(&path, text).unwrap();
-        let daemon = Self {
+        Self {
             process: Self::spawn(&files),
             clients,
             readiness,
             metrics,
             files,
-        };
-        Self::wait_for("the client listener", || {
-            net::TcpStream::connect(clients).is_ok()
-        });
-        daemon
+        }
     }
 
     /// Kills the daemon and starts it again with the same addresses.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -47,6 +47,13 @@
 const MAX_PREFERENCE_CHECKS: usize = 8;
 /// Minimum number of daemons that a daemon without a placer contacts before it selects one.
 const MIN_CONTACTED: usize = 3;
+/// Maximum number of daemons contacted in vain in one selection.
+const MAX_FAILED_CONTACTS: usize = 8;
+/// Time after the start of this daemon in which it waits for daemons that are ranked before all
+/// others and are starting too, ms: each change of the placer loses what the previous one knew.
+const STARTUP_WAIT_MS: f64 = 1_000.0;
+/// Maximum number of daemons asked one after the other for the placer that they follow.
+const MAX_FOLLOWED: usize = 6;
 /// Delay for further changes to arrive before they are processed.
 const CHANGE_SETTLE_TIME: Duration = Duration::from_millis(25);
 
@@ -498,29 +505,76 @@
     daemon.map(|daemon| daemon.address)
 }
 
-/// Selects the placer that another daemon named, if it can be reached and is ready.
+/// Selects the placer that another daemon named, or the one that this placer follows by now. If the
+/// daemons follow each other in a circle, the one that is ranked first is selected.
 async fn select_named_placer(
     state: &rc::Rc<state::DaemonState>,
-    placer: ids::HostId,
+    named: ids::HostId,
 ) -> PlacerSelection {
-    if placer == state.settings().host {
+    let own_host = state.settings().host.clone();
+    let mut followed = Vec::new();
+    let mut selected = None;
+    let mut next = named;
+    while followed.len() < MAX_FOLLOWED {
+        if next == own_host || followed.contains(&next) {
+            followed.push(next);
+            return select_in_circle(state, &followed).await;
+        }
+        let Some((connection, hello)) = contact_ready(state, &next).await else {
+            break;
+        };
+        let placer = hello.placer.filter(|placer| *placer != hello.host);
+        followed.push(hello.host.clone());
+        selected = Some((connection, hello.host));
+        match placer {
+            Some(placer) => next = placer,
+            None => break,
+        }
+    }
+    match selected {
+        Some((connection, host)) => PlacerSelection::Remote(Box::new(connection), host),
+        None => PlacerSelection::Unchanged,
+    }
+}
+
+/// Selects the daemon that is ranked first of those that follow each other in a circle.
+async fn select_in_circle(
+    state: &rc::Rc<state::DaemonState>,
+    followed: &[ids::HostId],
+) -> PlacerSelection {
+    let first = state.rank.borrow().first_of(followed).cloned();
+    let Some(first) = first else {
+        return PlacerSelection::Unchanged;
+    };
+    if followed.len() > 1 {
+        log::info!(target: "sardinepaddle", placer:% = first, daemons = followed.len();
+            "daemons follow each other: selecting the one ranked first");
+    }
+    if first == state.settings().host {
         return match state.is_ready() {
             true => PlacerSelection::Local,
             false => PlacerSelection::Unchanged,
         };
     }
-    let Some(address) = address_of(state, &placer) else {
-        log::info!(target: "sardinepaddle", placer:% = placer; "placer not listed in the store yet");
-        return PlacerSelection::Unchanged;
-    };
-    match contact(state, &placer, address).await {
-        Some((connection, hello)) if hello.status == PlacerStatus::Ready => {
-            PlacerSelection::Remote(Box::new(connection), hello.host)
-        }
-        _ => PlacerSelection::Unchanged,
+    match contact_ready(state, &first).await {
+        Some((connection, hello)) => PlacerSelection::Remote(Box::new(connection), hello.host),
+        None => PlacerSelection::Unchanged,
     }
 }
 
+/// Connects to a listed daemon that is ready to place requests.
+async fn contact_ready(
+    state: &rc::Rc<state::DaemonState>,
+    host: &ids::HostId,
+) -> Option<(PeerConnection, PeerHello)> {
+    let Some(address) = address_of(state, host) else {
+        log::info!(target: "sardinepaddle", placer:% = host; "placer not listed in the store yet");
+        return None;
+    };
+    let contacted = contact(state, host, address).await;
+    contacted.filter(|(_, hello)| hello.status == PlacerStatus::Ready)
+}
+
 /// Looks for a daemon ranked before this one that should take over this one's followers.
 async fn find_preferred_placer(state: &rc::Rc<state::DaemonState>) -> PlacerSelection {
     let own_host = state.settings().host.clone();
@@ -553,7 +607,7 @@
     let own_host = state.settings().host.clone();
     let current = placer_connection.map(|current| &current.host);
     let mut prefer_local = false;
-    let mut contacted = 0;
+    let (mut contacted, mut failed) = (0, 0);
     let mut first_ready = None;
     let mut last_resort = None;
     for (host, address) in candidates(state) {
@@ -565,6 +619,10 @@
             continue;
         }
         let Some((connection, hello)) = contact(state, &host, address).await else {
+            failed += 1;
+            if failed >= MAX_FAILED_CONTACTS {
+                break;
+            }
             continue;
         };
         contacted += 1;
@@ -596,6 +654,18 @@
             break;
         }
     }
+    let first = match (&first_ready, prefer_local) {
+        (_, true) => Some(&own_host),
+        (first_ready, false) => first_ready.as_ref().map(|(_, host)| host),
+    };
+    if let Some(first) = first.filter(|_| state.now() < STARTUP_WAIT_MS) {
+        let rank = state.rank.borrow();
+        let hosts = rank.daemons().iter().map(|daemon| &daemon.host);
+        let mut ahead = hosts.take_while(|host| *host != first);
+        if ahead.any(|host| rank.is_starting(host)) {
+            return PlacerSelection::Unchanged;
+        }
+    }
     if prefer_local {
         return PlacerSelection::Local;
     }
@@ -625,7 +695,11 @@
         Err(error) => error,
     };
     log::info!(target: "sardinepaddle", daemon:% = host, error:% = error; "daemon not available");
-    state.rank.borrow_mut().back_off(host, state.now());
+    let mut rank = state.rank.borrow_mut();
+    match error {
+        PeerError::NotReady => rank.back_off_starting(host, state.now()),
+        _ => rank.back_off(host, state.now()),
+    }
     None
 }
 
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -11,6 +11,9 @@
 /// Longest backoff, ms: a dead daemon is tried about twice a minute.
 const MAX_BACKOFF_MS: f64 = 30_000.0;
 
+/// Backoff of a daemon that is starting, ms: about the time in which it reads the store.
+const STARTING_BACKOFF_MS: f64 = 250.0;
+
 /// Time for which one daemon tries to reach the store while no daemon can, ms: long enough for
 /// several calls.
 const ROTATION_MS: f64 = 1_500.0;
@@ -59,6 +62,21 @@
         self.backoffs.insert(host.clone(), entry);
     }
 
+    /// Starts a short backoff of a daemon that answered but is still starting.
+    pub fn back_off_starting(&mut self, host: &ids::HostId, now: f64) {
+        let entry = BackoffEntry {
+            until: now + STARTING_BACKOFF_MS,
+            duration_ms: 0.0,
+        };
+        self.backoffs.insert(host.clone(), entry);
+    }
+
+    /// Returns whether a daemon was starting when it was contacted last.
+    pub fn is_starting(&self, host: &ids::HostId) -> bool {
+        let entry = self.backoffs.get(host);
+        entry.is_some_and(|entry| entry.duration_ms == 0.0)
+    }
+
     /// Ends the backoff of a daemon that answered.
     pub fn reset_backoff(&mut self, host: &ids::HostId) {
         self.backoffs.remove(host);
@@ -76,6 +94,17 @@
         daemons.find(|daemon| !self.is_backed_off(&daemon.host, now))
     }
 
+    /// Returns the first of some daemons in the order of the rank. Daemons that follow each other in
+    /// a circle thus agree on which of them is the placer.
+    pub fn first_of<'a>(&self, hosts: &'a [ids::HostId]) -> Option<&'a ids::HostId> {
+        hosts.iter().min_by_key(|host| {
+            let mut daemons = self.daemons.iter();
+            daemons
+                .position(|daemon| daemon.host == **host)
+                .unwrap_or(usize::MAX)
+        })
+    }
+
     /// Returns whether the daemon `own`, which places for others, should hand over to `other`: that
     /// one has more processor time, or it also places for others and ranks before `own`. An equal
     /// placer stays, since each change loses the predictions for running requests.
--- a/crates/pool/tests/rank.rs
+++ b/crates/pool/tests/rank.rs
@@ -114,3 +114,27 @@
     assert!(!watchers.contains(&b1));
     assert_eq!(daemons.watcher_in_rotation(&b1, 0.0, |_| false), None);
 }
+
+#[test]
+fn daemon_that_is_starting_is_tried_again_soon() {
+    let mut daemons = three_daemons();
+    let b1 = ids::HostId::new("b1");
+    daemons.back_off_starting(&b1, 0.0);
+    assert!(daemons.is_starting(&b1));
+    assert!(daemons.is_backed_off(&b1, 100.0));
+    daemons.back_off_starting(&b1, 300.0);
+    assert!(!daemons.is_backed_off(&b1, 600.0));
+    daemons.back_off(&b1, 600.0);
+    assert!(!daemons.is_starting(&b1));
+}
+
+#[test]
+fn daemons_in_a_circle_agree_on_the_first_in_rank() {
+    let daemons = three_daemons();
+    let hosts = ["a1", "b1", "a2"].map(ids::HostId::new);
+    let rotated = ["b1", "a2", "a1"].map(ids::HostId::new);
+    for circle in [&hosts, &rotated] {
+        assert_eq!(daemons.first_of(circle).unwrap().as_str(), "b1");
+    }
+    assert_eq!(daemons.first_of(&[]), None);
+}
