Start without watching the store, and without writing an entry that is there

Cause: calls to the store are the highest price on the large deployment.

Change: for 2 s after its start a daemon leaves it to the placer to confirm its lists; an entry that the list shows unchanged isn't written again. Test: both seen failing before.

--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -198,3 +198,25 @@
     let selected = placer(&daemon, 0);
     assert!(selected.is_none_or(|host| host == "h1"));
 }
+
+// Guards against four watches by each daemon that starts: its first lists may be outdated, and the
+// placer confirms them within a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_starts_beside_a_placer_does_not_watch_the_store() {
+    let store = FakeObjectStore::start().await;
+    store.put(
+        "config",
+        "main",
+        support::config(1, &support::default_routes()),
+    );
+    support::start_endpoints(&store, &[EndpointScript::Respond]).await;
+    let mut daemons = Vec::new();
+    for (host, cpu_share) in [("h0", 1.0), ("h1", 0.5), ("h2", 0.12)] {
+        daemons.push(RunningDaemon::start_at_once(&store, host, cpu_share));
+        daemons[daemons.len() - 1].wait_ready();
+    }
+    RunningDaemon::wait_for_followers(&[&daemons[0], &daemons[1]], 2);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(store_calls(&daemons[2]), 0);
+    assert!(store_calls(&daemons[0]) > 0);
+}
--- a/crates/daemon/tests/behind_platform/store_return.rs
+++ b/crates/daemon/tests/behind_platform/store_return.rs
@@ -254,3 +254,15 @@
         RunningDaemon::wait_for("a response", || is_served(&daemons[index], "safe"));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_daemon_whose_entry_is_listed_does_not_write_it_again() {
+    let (store, _endpoints, mut daemon) = support::deployment(&[EndpointScript::Respond]).await;
+    daemon.restart();
+    RunningDaemon::wait_for("the entry", || {
+        daemon.log().contains("entry found in the store")
+    });
+    daemon.wait_ready();
+    assert_eq!(daemon.log().matches("registered in").count(), 1);
+    assert!(store.spec(DAEMON_KIND, "h1").is_some());
+}
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -22,6 +22,12 @@
 /// watches the store itself. The range staggers the daemons: the first one distributes what it
 /// reads, so that the others need not watch.
 const STALE_FRACTIONS: (f64, f64) = (0.55, 0.85);
+/// Time after the start of the process in which a list that the store may have served from an outdated
+/// copy is confirmed by the placer, ms; before that it doesn't count as stale.
+const CONFIRMATION_WAIT_MS: f64 = 2_000.0;
+/// Time after the start of the process in which a daemon that knows no others may still learn of them,
+/// ms; only then does it watch the store as the only one.
+const DAEMONS_WAIT_MS: f64 = 300.0;
 /// Delay after a change, so that related changes arrive in one response.
 const BATCH_PAUSE: Duration = Duration::from_millis(100);
 /// The same delay for endpoints, as a fraction of their propagation bound: heartbeats of endpoints
@@ -48,6 +54,9 @@
 /// writer has written it again, ms: operators may take a while, daemons register within seconds.
 const LOST_CENTRE_DEFER_MS: f64 = 30_000.0;
 const LOST_DAEMON_DEFER_MS: f64 = 10_000.0;
+/// Maximum time to wait for the first list of daemons, and the interval of checks.
+const FIRST_LIST_WAIT: Duration = Duration::from_millis(1_000);
+const FIRST_LIST_CHECK: Duration = Duration::from_millis(25);
 /// Time after the start of an era in which the list of daemons reaches all of them, and the range
 /// over which those that are missing from it then register.
 const REGISTRATION_SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -129,6 +138,17 @@
     listed.is_some() && listed == own
 }
 
+/// Waits until the list of daemons has been read, for a limited time.
+async fn wait_for_list(state: &state::DaemonState) {
+    let listed = async {
+        while !state.age(catalog::ObjectKind::Daemons).is_finite() {
+            time::sleep(FIRST_LIST_CHECK).await;
+        }
+    };
+    // Without a list the entry is replaced.
+    let _ = time::timeout(FIRST_LIST_WAIT, listed).await;
+}
+
 /// Registers this daemon in the store, retrying until it succeeds. Returns the era of the store.
 async fn register(state: &state::DaemonState, spec: &str) -> u64 {
     let mut client = store::StoreClient::new(state.settings().store);
@@ -136,7 +156,20 @@
     let kind = catalog::ObjectKind::Daemons;
     let host = state.settings().host.clone();
     loop {
-        match client.put(kind, host.as_str(), spec).await {
+        let result = match client.create(kind, host.as_str(), spec).await {
+            Err(store::StoreError::Exists) => {
+                // The entry of the previous process on this host may be the same.
+                wait_for_list(state).await;
+                let era = state.store_era();
+                if is_registered(state, era, spec) {
+                    log::info!(target: "sardinepaddle", era; "entry found in the store");
+                    return era;
+                }
+                client.replace(kind, host.as_str(), spec).await
+            }
+            result => result,
+        };
+        match result {
             Ok(era) => {
                 state.metrics.store_call("enlist", "done");
                 log::info!(target: "sardinepaddle", entry = spec, era; "registered in the store");
@@ -213,11 +246,16 @@
         let (first, last) = STALE_FRACTIONS;
         let fraction = first + (last - first) * (state.incarnation % 16) as f64 / 16.0;
         let stale = state.age(self.kind) > fraction * self.propagation_bound_ms();
+        let awaits_confirmation = self.has_listed && state.now() < CONFIRMATION_WAIT_MS;
+        let awaits_daemons = self.has_listed
+            && state.now() < DAEMONS_WAIT_MS
+            && state.rank.borrow().daemons().is_empty();
+        let watches = state.watches_store() && !awaits_daemons;
         // During an outage only the configuration is polled; the other kinds wait until that
         // succeeds.
         let waits_for_config =
             self.kind != catalog::ObjectKind::Config && state.is_config_unreachable();
-        (state.watches_store() || stale) && !waits_for_config
+        (watches || stale && !awaits_confirmation) && !waits_for_config
     }
 
     /// Makes one call to the store. Returns whether it reported changes.
