--- a/crates/pool/benches/placement.rs
+++ b/crates/pool/benches/placement.rs
@@ -19,8 +19,8 @@
 const SHORT_PER_ENGINE: f64 = 1.5;
 const LONG_PER_ENGINE: f64 = 0.12;
 
-/// Time after which all waiting requests are evaluated again, ms.
-const EVALUATION_MS: f64 = 100.0;
+/// Interval of the ticks, ms.
+const TICK_MS: f64 = 20.0;
 
 fn request(tokens: u64, answer_tokens: u64, objective_ms: f64) -> job::PlacementRequest {
     job::PlacementRequest {
@@ -165,7 +165,7 @@
             bencher.iter_batched(
                 || loaded.clone(),
                 |mut loaded| {
-                    loaded.placer.tick(loaded.now + EVALUATION_MS);
+                    loaded.placer.tick(loaded.now + TICK_MS);
                     loaded
                 },
                 BatchSize::LargeInput,
--- a/crates/pool/src/members.rs
+++ b/crates/pool/src/members.rs
@@ -106,26 +106,30 @@
     waiting.value * relative_wait.powi(2)
 }
 
-/// Returns the candidates with the most free memory, as many as a prompt needs; of equal ones those
-/// with the lowest `cost`.
-pub(crate) fn largest_memory<'v, 'a>(
-    candidates: &[&'v CandidateEngine<'a>],
+/// Returns the first `count` of the ranked engines, after moving those with the most free memory to
+/// the front, as many as a prompt needs.
+pub(crate) fn with_largest_memory<'v, 'a>(
+    mut ranked: Vec<MemberCost<'v, 'a>>,
+    count: usize,
     needed_tokens: u64,
     profile: &serving::EngineProfile,
-    cost: impl Fn(&CandidateEngine<'_>) -> f64,
-) -> Vec<&'v CandidateEngine<'a>> {
-    let mut by_free_memory = candidates.to_vec();
-    by_free_memory.sort_by(|a, b| {
-        let by_memory = b.free_memory(profile).cmp(&a.free_memory(profile));
-        by_memory.then_with(|| cost(a).total_cmp(&cost(b)))
-    });
+) -> Vec<MemberCost<'v, 'a>> {
+    let mut by_free_memory: Vec<&CandidateEngine<'_>> =
+        ranked.iter().map(|cost| cost.candidate).collect();
+    by_free_memory.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory(profile)));
     let mut missing_tokens = needed_tokens;
     by_free_memory.retain(|candidate| {
         let is_needed = missing_tokens > 0;
         missing_tokens = missing_tokens.saturating_sub(candidate.free_memory(profile));
         is_needed
     });
-    by_free_memory
+    let is_selected = |cost: &MemberCost<'_, '_>| {
+        let mut others = by_free_memory.iter();
+        others.any(|other| std::ptr::eq(*other, cost.candidate))
+    };
+    ranked.sort_by_key(|cost| !is_selected(cost));
+    ranked.truncate(count);
+    ranked
 }
 
 /// How the memory of a prompt is divided among its engines.
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -43,8 +43,6 @@
 /// Waiting requests evaluated in one tick at most: evaluating all of them in every tick would take
 /// the time needed to place them.
 const MAX_EVALUATED_PER_TICK: usize = 64;
-/// Interval at which a waiting request is evaluated, as a share of its objective.
-const EVALUATION_SHARE: f64 = 0.02;
 /// Shortest and longest retry delay sent with a declined request, ms.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (400, 1_600);
 /// Assumed duration of a plain call until one has completed, ms.
@@ -202,7 +200,6 @@
             value,
             cost_weight,
             submitted_at: now,
-            evaluate_at: now,
             objective_at: now + request.objective_remaining_ms,
             deadline_at: now + request.remaining_ms,
             min_latency_ms: self.min_latency_ms(&request),
@@ -306,16 +303,10 @@
             request.value / (request.cost_weight * request.min_latency_ms).max(1.0)
         };
         waiting.sort_by(|a, b| value_density(b).total_cmp(&value_density(a)));
-        let mut evaluated = 0;
-        for mut request in waiting {
-            let is_due = now >= request.evaluate_at && evaluated < MAX_EVALUATED_PER_TICK;
-            if !is_due && !request.is_unservable(now) {
-                self.waiting.push(request);
-                continue;
-            }
-            evaluated += 1;
-            if !self.try_decide(now, &request) {
-                request.evaluate_at = now + EVALUATION_SHARE * request.request.full_objective_ms;
+        for (position, request) in waiting.into_iter().enumerate() {
+            let deferred = position >= MAX_EVALUATED_PER_TICK
+                && now + request.min_latency_ms < request.deadline_at;
+            if deferred || !self.try_decide(now, &request) {
                 self.waiting.push(request);
             }
         }
--- a/crates/pool/src/prompt_search.rs
+++ b/crates/pool/src/prompt_search.rs
@@ -257,18 +257,15 @@
         if leading.iter().any(has_room) {
             return Some(leading);
         }
-        let least_cost = |candidate: &members::CandidateEngine<'_>| {
-            candidate.least_cost(self.now, self.waiting, &part)
-        };
-        let largest = members::largest_memory(candidates, needed_tokens, self.profile, least_cost);
-        let mut members = self.cheapest(&largest, count.min(largest.len()), part)?;
-        let others = leading.into_iter().filter(|cost| {
-            let mut largest = largest.iter();
-            !largest.any(|other| std::ptr::eq(*other, cost.candidate))
-        });
-        members.extend(others);
-        members.truncate(count);
-        Some(members)
+        // Which engines have the most memory matters more than how soon they are free, so that all
+        // of them are compared.
+        let ranked = self.cheapest(candidates, candidates.len(), part)?;
+        Some(members::with_largest_memory(
+            ranked,
+            count,
+            needed_tokens,
+            self.profile,
+        ))
     }
 
     /// Returns the `count` engines with the lowest ranking cost, lowest first. Engines are
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -84,8 +84,6 @@
     /// Weight of its costs when plans are compared; see `JobPlacer::cost_weight`.
     pub cost_weight: f64,
     pub submitted_at: f64,
-    /// Time of the next search for a plan.
-    pub evaluate_at: f64,
     pub objective_at: f64,
     pub deadline_at: f64,
     /// Time to its first event on idle endpoints, ms.
