--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -173,7 +173,7 @@
 }
 
 // Guards against daemons that follow each other in a circle: each of them placed for its own
-// followers, on a small host and with a part of the requests in view, and told them about the next
+// followers, on a small host and with a part of the requests in view, and redirected them to the next
 // one for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_does_not_follow_one_that_follows_it_in_turn() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -270,7 +270,7 @@
     }
 
     /// Records what a response of an incarnation of an endpoint states about requests that follow.
-    /// One that is leaving is closed at once, and the other daemons are told.
+    /// One that is leaving is closed at once, here and on the other daemons.
     pub fn record_notice(
         &self,
         id: &ids::EndpointId,
--- a/crates/pool/src/passes.rs
+++ b/crates/pool/src/passes.rs
@@ -212,8 +212,8 @@
         work.unqueued_ms() + running_ms
     }
 
-    /// Returns the earliest time at which a part that arrives at `arrives_at` may be prefilled, ms,
-    /// apart from the time of its own prefill. A part that is shared with other engines goes ahead of the queue.
+    /// Returns a lower bound of the time at which a part that arrives at `arrives_at` starts its own
+    /// prefill, ms. A part that is shared with other engines goes ahead of the queue.
     pub fn earliest_start(
         &self,
         profile: &serving::EngineProfile,
