Log the shared parts of a prompt when it is placed

During the incident BUDGET endpoints ended one after the other, and the log could not show whether the requests running on them had anything in common: no line named the parts of a prompt. request placed has them now.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -53,6 +53,19 @@
     assert!(remaining_ms <= 8_000, "{remaining_ms}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn log_names_the_shared_parts_of_a_placed_prompt() {
+    let (_store, _endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
+    let key = format!("Authorization: Bearer {KEY}");
+    let parts = "X-Prefix-Hash: 5c1e07a2:40,0b:300,77:60";
+    let headers = ["X-Attempt-Id: r1", &key, "X-Token-Usage: 400,80", parts];
+    let response = send_request(daemon.clients, "GET /safe/ HTTP/1.1", &headers);
+    assert_eq!(response.status, 200);
+    RunningDaemon::wait_for("the log line", || {
+        daemon.log().contains("\"parts\":\"5c1e07a2,0000000b\"")
+    });
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_routes_and_keys_are_refused() {
     let (_store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -544,7 +544,8 @@
                 let (tokens, answer_tokens) = request.hints.tokens.unwrap_or_default();
                 log::info!(target: "sardinepaddle", request = request.hints.attempt_id,
                     job = job.number, endpoint:% = plan.primary.endpoint,
-                    prompt_tokens = tokens, answer_tokens, helped_by = helped_by(&plan),
+                    prompt_tokens = tokens, answer_tokens,
+                    parts = part_names(&request.hints.shared_parts), helped_by = helped_by(&plan),
                     helpers = plan.helpers.len(), predicted_ms = plan.predicted_ms,
                     waited_ms = waited, left_ms = request.remaining_ms(),
                     data_age_ms = state.data_age(); "request placed");
@@ -783,6 +784,12 @@
     names.collect::<Vec<_>>().join(",")
 }
 
+/// Returns the parts that a prompt may share with others, for the log.
+fn part_names(parts: &[ids::PartId]) -> String {
+    let names = parts.iter().map(ids::PartId::to_string);
+    names.collect::<Vec<_>>().join(",")
+}
+
 type ExchangeReply = (upstream::UpstreamConnection, http::Response<Incoming>);
 
 /// A request being sent to an endpoint.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -178,6 +178,36 @@
     }
 }
 
+/// Identifier of a part of a prompt; prompts that begin with the same text share parts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct PartId(u64);
+
+impl PartId {
+    /// Returns the identifier for a name: the name itself if it is a hexadecimal number of up to 16
+    /// digits, its digest otherwise.
+    ///
+    /// ```
+    /// use sardinepaddle_model::ids::PartId;
+    /// assert_eq!(PartId::from_name("5C1E07A2").to_string(), "5c1e07a2");
+    /// assert_ne!(PartId::from_name("a much longer name"), PartId::from_name("another"));
+    /// ```
+    pub fn from_name(name: &str) -> Self {
+        if let Ok(number) = u64::from_str_radix(name, 16) {
+            return Self(number);
+        }
+        let digest = sha2::Sha256::digest(name.as_bytes());
+        let bytes = digest.iter().take(8);
+        Self(bytes.fold(0, |number, byte| number << 8 | u64::from(*byte)))
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// Index of one of the objects across which claims are sharded.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
