Failing test: a part of prompts ends endpoint after endpoint

Three daemons before eight endpoints; every 150 ms a prompt with one part, no two alike, ends each endpoint that begins to write on it.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -1,5 +1,6 @@
 //! Runs the daemon as a real process with fakes of the users' platform.
 
+mod crashing_parts;
 mod endpoint_notices;
 mod placer_selection;
 mod store_return;
