Quarantine parts of prompts on which endpoints crash

Broken streams were resumed on the next endpoint, which ended too, and new prompts with the part came all the time.

Cause: nothing related the ends of endpoints to what their prompts had in common. Each attempt was judged by itself, as a fault of its endpoint; the class is a retry of work that is itself at fault.

The placer now suspects the shared parts of prompts that broke off at the start of their answer, takes suspicion off with complete answers, and quarantines the part that explains most crashes. Daemons pass quarantines on like endpoints that are leaving, and decline such prompts at once, before each send.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -113,8 +113,31 @@
         .new_codec()
 }
 
+impl PlacementMessage {
+    /// Returns the placement requests in the message.
+    fn requests(&self) -> Vec<&job::PlacementRequest> {
+        match self {
+            Self::PlacementRequest { request, .. } => vec![request],
+            Self::RunningJobs(jobs) => jobs.iter().map(|running| &running.request).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn requests_mut(&mut self) -> Vec<&mut job::PlacementRequest> {
+        match self {
+            Self::PlacementRequest { request, .. } => vec![request],
+            Self::RunningJobs(jobs) => {
+                let jobs = jobs.iter_mut();
+                jobs.map(|running| &mut running.request).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
 /// Encodes a message and the era of the store to which it belongs, zero for none. The era follows
-/// the message, where builds that know no eras ignore it.
+/// the message, and the parts of the prompts in it follow the era, where builds that don't know
+/// them ignore them.
 ///
 /// ```
 /// use sardinepaddle_gateway::message::{decode, encode, PlacementMessage};
@@ -124,18 +147,31 @@
 /// ```
 pub fn encode(message: &PlacementMessage, era: u64) -> Result<Bytes, postcard::Error> {
     let mut bytes = postcard::to_stdvec(message)?;
-    if era > 0 {
+    let requests = message.requests();
+    let parts = requests.iter().map(|request| &request.shared_parts);
+    let parts: Vec<&Vec<ids::PartId>> = parts.collect();
+    let has_parts = parts.iter().any(|parts| !parts.is_empty());
+    if era > 0 || has_parts {
         bytes = postcard::to_extend(&era, bytes)?;
     }
+    if has_parts {
+        bytes = postcard::to_extend(&parts, bytes)?;
+    }
     Ok(Bytes::from(bytes))
 }
 
 /// Decodes a message and the era of the store to which it belongs, zero for none.
 pub fn decode(bytes: &[u8]) -> Result<(PlacementMessage, u64), postcard::Error> {
-    let (message, rest) = postcard::take_from_bytes(bytes)?;
-    let era = match rest {
-        [] => 0,
-        rest => postcard::from_bytes(rest)?,
-    };
+    let (mut message, rest) = postcard::take_from_bytes::<PlacementMessage>(bytes)?;
+    if rest.is_empty() {
+        return Ok((message, 0));
+    }
+    let (era, rest) = postcard::take_from_bytes(rest)?;
+    if !rest.is_empty() {
+        let parts: Vec<Vec<ids::PartId>> = postcard::from_bytes(rest)?;
+        for (request, parts) in message.requests_mut().into_iter().zip(parts) {
+            request.shared_parts = parts;
+        }
+    }
     Ok((message, era))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     data_age: api::Gauge<f64>,
     config_version: api::Gauge<u64>,
     store_era: api::Gauge<u64>,
+    quarantines: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
     log_lines_dropped: api::Gauge<u64>,
 }
@@ -71,6 +72,10 @@
                 "store_era",
                 "Times that the store came back from an older copy",
             ),
+            quarantines: gauge(
+                "quarantined_prompt_parts",
+                "Combinations of prompt parts that are declined as endpoints crash on them",
+            ),
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
@@ -149,6 +154,11 @@
         self.store_era.record(era, &[]);
     }
 
+    /// Records the number of quarantined combinations of prompt parts.
+    pub fn quarantines(&self, count: usize) {
+        self.quarantines.record(count as u64, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> scrape::Result<String> {
         self.registry.render()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -521,6 +521,9 @@
         let request = &self.request;
         let state = &request.state;
         let service = &request.route_match.service;
+        if let Some(error) = self.quarantined_error() {
+            return Err(error);
+        }
         if let Some(due_ms) = state.until_first_due_ms(service, &self.excluded) {
             let retry_after_ms = (due_ms.ceil() as u64).max(MIN_QUIET_RETRY_MS);
             log::info!(target: "sardinepaddle", request = request.hints.attempt_id, retry_after_ms;
@@ -574,6 +577,21 @@
         }
     }
 
+    /// Returns the error of a prompt on which endpoints crash.
+    fn quarantined_error(&self) -> Option<AttemptError> {
+        let request = &self.request;
+        let left_ms = request.state.quarantined_ms(&request.hints.shared_parts)?;
+        let reason = job::DeclineReason::Quarantined.name();
+        let retry_after_ms = left_ms.ceil() as u64;
+        request.state.metrics.placement(reason, 0.0);
+        log::info!(target: "sardinepaddle", request = request.hints.attempt_id, reason,
+            parts = part_names(&request.hints.shared_parts), retry_after_ms; "request declined");
+        Some(AttemptError::declined(response::LocalResponse::NotRun {
+            reason,
+            retry_after_ms,
+        }))
+    }
+
     fn placement_request(&self, now: f64) -> job::PlacementRequest {
         let request = &self.request;
         let route = &request.route_match.route;
@@ -599,6 +617,7 @@
             remaining_ms: request.remaining_ms(),
             priority: request.route_match.priority,
             excluded,
+            shared_parts: request.hints.shared_parts.clone(),
             is_retry: self.possible_runs > 0 || self.attempts > self.unsent,
         }
     }
@@ -652,7 +671,10 @@
             at_fault: Some(endpoint),
             ..AttemptError::not_run(health::HealthSignal::Full, "memory_refused")
         })?;
-        // An endpoint may have been closed while memory was reserved.
+        // While memory was reserved, an endpoint may have been closed, or the prompt quarantined.
+        if let Some(error) = self.quarantined_error() {
+            return Err(error);
+        }
         match self.closed_member(plan) {
             Some(endpoint) => Err(self.unsent_error(endpoint)),
             None => Ok(memory),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use model::millis;
 use platform::catalog;
 use platform::headers;
+use pool::crashes;
 use pool::job;
 use pool::placer;
 use pool::quiet;
@@ -87,6 +88,8 @@
     era_changes: watch::Sender<u64>,
     /// Periods in which endpoints want no requests from this daemon.
     quiet_periods: cell::RefCell<quiet::QuietPeriods>,
+    /// Quarantined parts of prompts, and the time until which they are, ms.
+    quarantines: cell::RefCell<Vec<(crashes::PartQuarantine, f64)>>,
     /// Time of the shutdown request, ms.
     shutdown_started_at: cell::Cell<Option<f64>>,
     /// Object kinds for which the last call to the store failed.
@@ -133,6 +136,7 @@
             changes: watch::Sender::new(0),
             era_changes: watch::Sender::new(0),
             quiet_periods: cell::RefCell::default(),
+            quarantines: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
             unreachable_kinds: cell::RefCell::default(),
             follower_reachability: cell::RefCell::default(),
@@ -242,13 +246,19 @@
     /// Applies objects read from the store or received from another daemon.
     pub fn apply(&self, objects: Vec<replica::ReplicaObject>, source: &str) {
         let now = self.now();
-        let changed_kinds = self.cache.borrow_mut().apply(now, objects, source);
+        let change = self.cache.borrow_mut().apply(now, objects, source);
         self.notify_era();
-        if changed_kinds.is_empty() {
+        if change.quarantines {
+            self.update_quarantines(now);
+        }
+        if change.kinds.is_empty() {
+            if change.quarantines {
+                self.changes.send_replace(self.cache.borrow().last_change());
+            }
             return;
         }
         let cache = self.cache.borrow();
-        if changed_kinds.contains(&catalog::ObjectKind::Daemons) {
+        if change.kinds.contains(&catalog::ObjectKind::Daemons) {
             self.rank.borrow_mut().set_daemons(cache.daemons());
             self.update_retry_share();
         }
@@ -256,6 +266,44 @@
         self.changes.send_replace(cache.last_change());
     }
 
+    fn update_quarantines(&self, now: f64) {
+        let quarantines = self.cache.borrow().quarantines();
+        self.metrics.quarantines(quarantines.len());
+        *self.quarantines.borrow_mut() = quarantines
+            .iter()
+            .map(|(quarantine, left_ms)| (quarantine.clone(), now + left_ms))
+            .collect();
+        self.placer.borrow_mut().set_quarantines(now, quarantines);
+        self.deliver_decisions();
+    }
+
+    /// Publishes the changes of quarantined parts that the local placer has decided.
+    fn publish_quarantines(&self) {
+        let changes = self.placer.borrow_mut().take_quarantine_changes();
+        for change in changes {
+            let (parts, is_quarantined) = match &change {
+                crashes::QuarantineChange::Start { parts, .. } => (parts, true),
+                crashes::QuarantineChange::Release { parts } => (parts, false),
+            };
+            log::warn!(target: "sardinepaddle", change:? = change; "quarantine decided");
+            let object = self.cache.borrow().quarantine_object(parts, is_quarantined);
+            match object {
+                Ok(object) => self.apply(vec![object], "placer"),
+                Err(error) => log::warn!(target: "sardinepaddle", error:% = error;
+                    "quarantine not published"),
+            }
+        }
+    }
+
+    /// Returns the time for which prompts with these parts are still declined, ms, if they are.
+    pub fn quarantined_ms(&self, parts: &[ids::PartId]) -> Option<f64> {
+        let now = self.now();
+        let quarantines = self.quarantines.borrow();
+        let mut in_force = quarantines.iter().filter(|(_, until)| *until > now);
+        let (_, until) = in_force.find(|(quarantine, _)| quarantine.matches(parts))?;
+        Some(until - now)
+    }
+
     fn update_placer(&self, cache: &store_cache::StoreCache) {
         let mut placer = self.placer.borrow_mut();
         placer.set_services(&cache.index().config().services);
@@ -556,10 +604,11 @@
     /// Decides on the requests that wait at the local placer, and places locally those to which the
     /// remote placer has not responded in time.
     pub fn tick(&self) {
-        let is_waiting = self.placer.borrow().waiting_count() > 0;
-        if is_waiting {
+        let needs_tick = self.placer.borrow().needs_tick();
+        if needs_tick {
             self.placer.borrow_mut().tick(self.now());
             self.deliver_decisions();
+            self.publish_quarantines();
         }
         self.reroute_unanswered();
     }
@@ -570,6 +619,7 @@
         let now = self.now();
         self.placer.borrow_mut().tick(now);
         self.deliver_decisions();
+        self.publish_quarantines();
         self.quiet_periods.borrow_mut().sweep(now);
         let max_age_ms = self.settings().bounds.endpoints_ms;
         let is_changed = self.cache.borrow_mut().review_holds(now, max_age_ms);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use model::ids;
 use model::map;
+use model::millis;
 use model::serving;
 use platform::catalog;
+use pool::crashes;
 use pool::holds;
 use pool::replica;
 use pool::routes;
@@ -26,9 +28,21 @@
 /// endpoints whose responses stated that they are leaving. The revision is the start time of the
 /// incarnation.
 const CLOSED_KIND: u8 = u8::MAX;
+/// Number of another such kind: parts of prompts that are quarantined, named by the parts. The
+/// revision is the time of the change, Unix ms.
+const QUARANTINE_KIND: u8 = u8::MAX - 1;
 /// Age reported for a kind that was never listed, ms.
 const NEVER_SYNCED_AGE_MS: u64 = 1_000_000_000;
 
+/// What a number of objects changed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CacheChange {
+    /// Kinds of the store's objects that changed.
+    pub kinds: Vec<catalog::ObjectKind>,
+    /// Whether the quarantined parts changed.
+    pub quarantines: bool,
+}
+
 /// Decoded copy of the store's objects.
 pub(crate) struct StoreCache {
     replica: replica::ObjectReplica,
@@ -219,13 +233,64 @@
         compression::decompress(compressed, content.map(|content| content.as_ref()))
     }
 
-    /// Applies objects. Returns the kinds that changed.
+    /// Returns the quarantined parts, each with the time for which they remain so, ms.
+    pub fn quarantines(&self) -> Vec<(crashes::PartQuarantine, f64)> {
+        let now_ms = millis::since_epoch();
+        let mut quarantines = Vec::new();
+        for object in self.replica.present(QUARANTINE_KIND) {
+            let spec = object.spec.as_deref().unwrap_or_default();
+            match postcard::from_bytes::<crashes::PartQuarantine>(spec) {
+                Ok(quarantine) => {
+                    let left_ms = quarantine.until_ms.saturating_sub(now_ms) as f64;
+                    let left_ms = left_ms.min(crashes::QUARANTINE_MS);
+                    if left_ms > 0.0 {
+                        quarantines.push((quarantine, left_ms));
+                    }
+                }
+                Err(error) => {
+                    log::warn!(target: "sardinepaddle", parts = object.name, error:% = error;
+                        "invalid quarantine skipped");
+                }
+            }
+        }
+        quarantines
+    }
+
+    /// Returns the object that quarantines parts of prompts here and at other daemons, or ends
+    /// their quarantine.
+    pub fn quarantine_object(
+        &self,
+        parts: &[ids::PartId],
+        is_quarantined: bool,
+    ) -> io::Result<replica::ReplicaObject> {
+        let names: Vec<String> = parts.iter().map(ids::PartId::to_string).collect();
+        let name = names.join("+");
+        let now_ms = millis::since_epoch();
+        let known = self.replica.object(QUARANTINE_KIND, &name);
+        let revision = known.map_or(now_ms, |known| now_ms.max(known.revision + 1));
+        let quarantine = crashes::PartQuarantine {
+            parts: parts.to_vec(),
+            until_ms: now_ms + crashes::QUARANTINE_MS as u64,
+        };
+        let spec = postcard::to_stdvec(&quarantine).map_err(io::Error::other)?;
+        Ok(replica::ReplicaObject {
+            kind: QUARANTINE_KIND,
+            name,
+            revision,
+            spec: is_quarantined.then(|| Bytes::from(spec)),
+            era: 0,
+            version: 0,
+        })
+    }
+
+    /// Applies objects. Returns what changed.
     pub fn apply(
         &mut self,
         now: f64,
         objects: Vec<replica::ReplicaObject>,
         source: &str,
-    ) -> Vec<catalog::ObjectKind> {
+    ) -> CacheChange {
+        let mut quarantines = false;
         let mut changed = [false; KIND_COUNT];
         for mut object in objects {
             self.observe_era(object.era, source);
@@ -243,7 +308,15 @@
             // Even an outdated object may serve as the base of a later difference.
             self.history.record(&object);
             let name = object.name.clone();
+            let number = object.kind;
             let is_applied = self.replica.apply(object);
+            if is_applied && number == QUARANTINE_KIND {
+                let is_quarantined = self.replica.object(number, &name);
+                let is_quarantined = is_quarantined.is_some_and(|object| object.spec.is_some());
+                log::warn!(target: "sardinepaddle", parts = name, quarantined:% = is_quarantined,
+                    source; "quarantine of prompt parts changed");
+                quarantines = true;
+            }
             match kind {
                 Some(kind) if is_applied => changed[kind as usize] = true,
                 Some(kind @ catalog::ObjectKind::Config) => {
@@ -258,7 +331,7 @@
         for kind in &kinds {
             self.decode(now, *kind, source);
         }
-        kinds
+        CacheChange { kinds, quarantines }
     }
 
     /// Returns the object that closes an incarnation of an endpoint to new requests, here and at
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -1,5 +1,7 @@
 //! The encoding of messages between daemons, also of those with an older build.
 
+use model::ids;
+use pool::job;
 use pool::replica;
 use sardinepaddle_gateway::message;
 use sardinepaddle_gateway::message::PlacementMessage;
@@ -15,6 +17,49 @@
     }])
 }
 
+fn placement_request(parts: &[&str]) -> PlacementMessage {
+    PlacementMessage::PlacementRequest {
+        job: job::JobId {
+            incarnation: 1,
+            number: 2,
+        },
+        request: job::PlacementRequest {
+            route: "r".to_owned(),
+            service: ids::ServiceId::new("s"),
+            kind: job::JobKind::Call,
+            centre: ids::CentreId::new("a"),
+            objective_remaining_ms: 1.0,
+            full_objective_ms: 1.0,
+            gap_objective_ms: 0.0,
+            abandon_after_ms: 2_000.0,
+            remaining_ms: 1.0,
+            priority: 1,
+            excluded: Vec::new(),
+            shared_parts: parts
+                .iter()
+                .map(|part| ids::PartId::from_name(part))
+                .collect(),
+            is_retry: false,
+        },
+    }
+}
+
+#[test]
+fn shared_parts_of_prompts_follow_the_era() {
+    let message = placement_request(&["1", "2"]);
+    for era in [0, 3] {
+        let bytes = message::encode(&message, era).unwrap();
+        assert_eq!(message::decode(&bytes).unwrap(), (message.clone(), era));
+        // How older builds decode: bytes after what they know are ignored.
+        let (decoded, rest) = postcard::take_from_bytes::<PlacementMessage>(&bytes).unwrap();
+        assert_eq!(decoded, placement_request(&[]));
+        assert_eq!(postcard::from_bytes::<u64>(rest).unwrap(), era);
+    }
+    let without = placement_request(&[]);
+    let bytes = message::encode(&without, 0).unwrap();
+    assert_eq!(bytes, postcard::to_stdvec(&without).unwrap());
+}
+
 #[test]
 fn builds_without_eras_read_messages_that_have_one() {
     let bytes = message::encode(&objects(), 3).unwrap();
--- a/crates/pool/benches/placement.rs
+++ b/crates/pool/benches/placement.rs
@@ -38,6 +38,7 @@
         remaining_ms: 15_000.0,
         priority: 1,
         excluded: Vec::new(),
+        shared_parts: Vec::new(),
         is_retry: false,
     }
 }
--- /dev/null
+++ b/crates/pool/src/crashes.rs
@@ -0,0 +1,337 @@
+//! Finds the part of prompts that crashes each endpoint that begins to write an answer on it.
+//!
+//! When an endpoint ends, all its requests break, so the parts of many sound prompts are seen in a
+//! crash too. A part is suspected for each crash that it was seen in, and for one crash less with
+//! each answer on it that is complete. Once a part is suspected for several crashes, and for more
+//! than all others, prompts with it are quarantined. Parts that can't be told apart so far are
+//! quarantined together: only prompts that have all of them are declined, so that those with some
+//! of them show which one it is.
+
+use std::collections;
+
+use model::ids;
+use model::map;
+use serde::{Deserialize, Serialize};
+
+/// Time for which a quarantine holds, ms.
+pub const QUARANTINE_MS: f64 = 600_000.0;
+/// Time in which all daemons report the requests that a crash broke, ms.
+const SETTLE_MS: f64 = 150.0;
+/// Time within which crashes count as one, ms; a rack or data centre that fails ends many endpoints
+/// at once.
+const SAME_CAUSE_MS: f64 = 50.0;
+/// Time after the first event of an answer in which its part can be the cause of a crash, ms.
+const BEGIN_MS: f64 = 1_000.0;
+/// Time after a crash in which a response shows that the endpoint only lost connections, ms; a
+/// crashed endpoint takes longer to start.
+const ALIVE_MS: f64 = 1_000.0;
+/// Number of crashes for which a part is quarantined.
+const MIN_CRASHES: usize = 3;
+/// The same if prompts without a part in common are equally suspected.
+const MIN_AMBIGUOUS_CRASHES: usize = 5;
+/// Time for which a crash is remembered, ms.
+const EVIDENCE_MS: f64 = 120_000.0;
+/// Maximum number of remembered crashes, of prompts of a crash, and of quarantines.
+const MAX_CRASHES: usize = 64;
+const MAX_SUSPECTS: usize = 64;
+const MAX_QUARANTINES: usize = 64;
+
+/// Parts of prompts; a prompt that has all of them is declined.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartQuarantine {
+    /// The parts, sorted.
+    pub parts: Vec<ids::PartId>,
+    /// End of the quarantine, Unix ms.
+    pub until_ms: u64,
+}
+
+impl PartQuarantine {
+    /// Whether a prompt with these parts is declined.
+    ///
+    /// ```
+    /// use model::ids::PartId;
+    /// use sardinepaddle_pool::crashes::PartQuarantine;
+    /// let [first, second] = ["a", "b"].map(PartId::from_name);
+    /// let quarantine = PartQuarantine { parts: vec![first, second], until_ms: 0 };
+    /// assert!(quarantine.matches(&[second, first]));
+    /// assert!(!quarantine.matches(&[first]));
+    /// ```
+    pub fn matches(&self, prompt: &[ids::PartId]) -> bool {
+        contains_all(prompt, &self.parts)
+    }
+}
+
+fn contains_all(prompt: &[ids::PartId], parts: &[ids::PartId]) -> bool {
+    !parts.is_empty() && parts.iter().all(|part| prompt.contains(part))
+}
+
+/// A change of the quarantined parts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum QuarantineChange {
+    /// Prompts that have all these parts are declined from now on.
+    Start {
+        /// The parts, sorted.
+        parts: Vec<ids::PartId>,
+        /// Endpoints that crashed on them.
+        endpoints: Vec<ids::EndpointId>,
+    },
+    /// They no longer are.
+    Release {
+        /// The parts, sorted.
+        parts: Vec<ids::PartId>,
+    },
+}
+
+/// An incarnation of an endpoint: its id and start time, Unix ms.
+pub type EndpointIncarnation = (ids::EndpointId, u64);
+
+/// Endpoints that crashed at about the same time.
+#[derive(Clone, Debug)]
+struct CrashRecord {
+    number: u64,
+    at: f64,
+    incarnations: Vec<EndpointIncarnation>,
+    /// Shared parts of the prompts that may have caused it.
+    suspects: Vec<Vec<ids::PartId>>,
+    settled: bool,
+}
+
+impl CrashRecord {
+    fn is_explained_by(&self, parts: &[ids::PartId]) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|prompt| contains_all(prompt, parts))
+    }
+}
+
+/// Collects crashes and sound answers, and decides which parts are quarantined.
+#[derive(Clone, Debug, Default)]
+pub struct CrashTracker {
+    crashes: collections::VecDeque<CrashRecord>,
+    last_number: u64,
+    /// Numbers of the crashes for which a part is suspected, oldest first.
+    suspected: map::HashMap<ids::PartId, Vec<u64>>,
+    quarantined: Vec<Vec<ids::PartId>>,
+    changes: Vec<QuarantineChange>,
+}
+
+impl CrashTracker {
+    /// Replaces the parts that are quarantined.
+    pub fn set_quarantined(&mut self, quarantined: Vec<Vec<ids::PartId>>) {
+        self.quarantined = quarantined;
+        for index in 0..self.quarantined.len() {
+            let parts = self.quarantined[index].clone();
+            self.drop_suspicions_explained_by(&parts);
+        }
+    }
+
+    /// Records that a request broke off on an incarnation of an endpoint. `started_at` is the time
+    /// of the first event, if there was one, `placed_at` that of the placement, ms.
+    pub fn record_break(
+        &mut self,
+        now: f64,
+        incarnation: &EndpointIncarnation,
+        placed_at: f64,
+        started_at: Option<f64>,
+        parts: &[ids::PartId],
+    ) {
+        let is_past_begin = started_at.is_some_and(|started_at| now - started_at > BEGIN_MS);
+        if parts.is_empty() || is_past_begin {
+            return;
+        }
+        let mut crashes = self.crashes.iter_mut().rev();
+        let known = crashes.find(|crash| crash.incarnations.contains(incarnation));
+        if let Some(crash) = known {
+            let is_part_of_it = !crash.settled && placed_at <= crash.at;
+            if is_part_of_it && crash.suspects.len() < MAX_SUSPECTS {
+                crash.suspects.push(parts.to_vec());
+            }
+            return;
+        }
+        let last = self.crashes.back_mut();
+        match last.filter(|crash| !crash.settled && now - crash.at < SAME_CAUSE_MS) {
+            Some(crash) => {
+                crash.incarnations.push(incarnation.clone());
+                if crash.suspects.len() < MAX_SUSPECTS {
+                    crash.suspects.push(parts.to_vec());
+                }
+            }
+            None => self.add_crash(now, incarnation.clone(), parts.to_vec()),
+        }
+    }
+
+    fn add_crash(&mut self, now: f64, incarnation: EndpointIncarnation, parts: Vec<ids::PartId>) {
+        if self.crashes.len() >= MAX_CRASHES {
+            self.remove_crash(0);
+        }
+        self.last_number += 1;
+        self.crashes.push_back(CrashRecord {
+            number: self.last_number,
+            at: now,
+            incarnations: vec![incarnation],
+            suspects: vec![parts],
+            settled: false,
+        });
+    }
+
+    /// Records that an incarnation responded to a request that was placed at `placed_at`. If that
+    /// was right after a supposed crash, there was none.
+    pub fn record_response(&mut self, now: f64, incarnation: &EndpointIncarnation, placed_at: f64) {
+        let crashes = self.crashes.iter();
+        let recent = crashes.rev().take_while(|crash| now - crash.at <= ALIVE_MS);
+        let mut refuted = recent.filter(|crash| placed_at > crash.at);
+        let refuted = refuted.find(|crash| crash.incarnations.contains(incarnation));
+        let Some(number) = refuted.map(|crash| crash.number) else {
+            return;
+        };
+        let index = self.crashes.partition_point(|crash| crash.number < number);
+        let incarnations = &mut self.crashes[index].incarnations;
+        incarnations.retain(|other| other != incarnation);
+        if incarnations.is_empty() {
+            self.remove_crash(index);
+        }
+    }
+
+    /// Records a complete answer on a prompt.
+    pub fn record_sound(&mut self, parts: &[ids::PartId]) {
+        for part in parts {
+            let Some(numbers) = self.suspected.get_mut(part) else {
+                continue;
+            };
+            numbers.remove(0);
+            if numbers.is_empty() {
+                self.suspected.remove(part);
+            }
+        }
+        let sound = |quarantined: &Vec<ids::PartId>| {
+            let mut quarantined = quarantined.iter();
+            quarantined.any(|part| parts.contains(part))
+        };
+        while let Some(index) = self.quarantined.iter().position(sound) {
+            let released = self.quarantined.swap_remove(index);
+            let rest = released.iter().filter(|part| !parts.contains(part));
+            let rest: Vec<_> = rest.copied().collect();
+            self.changes
+                .push(QuarantineChange::Release { parts: released });
+            if !rest.is_empty() {
+                self.quarantine(rest);
+            }
+        }
+    }
+
+    /// Whether there are crashes on which [`Self::tick`] has yet to decide.
+    pub fn has_unsettled(&self) -> bool {
+        self.crashes.back().is_some_and(|crash| !crash.settled)
+    }
+
+    /// Decides on the crashes that all daemons have reported by now. `is_written` returns whether
+    /// an answer on a part has been written for a while.
+    pub fn tick(&mut self, now: f64, is_written: impl Fn(ids::PartId) -> bool) {
+        while let Some(crash) = self.crashes.front()
+            && now - crash.at > EVIDENCE_MS
+        {
+            self.remove_crash(0);
+        }
+        let due = |crash: &CrashRecord| !crash.settled && now - crash.at >= SETTLE_MS;
+        while let Some(index) = self.crashes.iter().position(due) {
+            self.crashes[index].settled = true;
+            self.decide(index, &is_written);
+        }
+    }
+
+    /// Returns and clears the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn decide(&mut self, index: usize, is_written: impl Fn(ids::PartId) -> bool) {
+        let crash = self.crashes[index].clone();
+        let mut quarantined = self.quarantined.iter();
+        if quarantined.any(|parts| crash.is_explained_by(parts)) {
+            return;
+        }
+        let mut parts: Vec<_> = crash.suspects.iter().flatten().copied().collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|part| !is_written(*part));
+        for part in &parts {
+            self.suspected.entry(*part).or_default().push(crash.number);
+        }
+        let count = |part: &ids::PartId| self.suspected.get(part).map_or(0, Vec::len);
+        let highest = parts.iter().map(count).max().unwrap_or(0);
+        if highest < MIN_CRASHES {
+            return;
+        }
+        parts.retain(|part| count(part) == highest);
+        let mut causes: Vec<Vec<ids::PartId>> = Vec::new();
+        for prompt in &crash.suspects {
+            let common = parts.iter().filter(|part| prompt.contains(part));
+            let common: Vec<_> = common.copied().collect();
+            if !common.is_empty() && !causes.contains(&common) {
+                causes.push(common);
+            }
+        }
+        if causes.len() > 1 && highest < MIN_AMBIGUOUS_CRASHES {
+            return;
+        }
+        for cause in &causes {
+            let is_wider = |other: &Vec<ids::PartId>| other != cause && contains_all(cause, other);
+            if !causes.iter().any(is_wider) {
+                self.quarantine(cause.clone());
+            }
+        }
+    }
+
+    /// Quarantines parts, and releases those for which another reason is known now.
+    fn quarantine(&mut self, parts: Vec<ids::PartId>) {
+        let explained = |crash: &&CrashRecord| crash.is_explained_by(&parts);
+        let crashes = self.crashes.iter().filter(explained);
+        let mut endpoints: Vec<_> = crashes
+            .flat_map(|crash| crash.incarnations.iter().map(|(id, _)| id.clone()))
+            .collect();
+        endpoints.dedup();
+        let is_outdated = |other: &Vec<ids::PartId>| {
+            let crashes = self.crashes.iter();
+            let seen = crashes.filter(|crash| crash.is_explained_by(other));
+            let (explained, open): (Vec<_>, Vec<_>) =
+                seen.partition(|crash| crash.is_explained_by(&parts));
+            explained.len() + open.len() >= MIN_CRASHES && open.len() < MIN_CRASHES
+        };
+        let outdated: Vec<_> = self
+            .quarantined
+            .iter()
+            .filter(|other| is_outdated(other))
+            .cloned()
+            .collect();
+        self.quarantined.retain(|other| !outdated.contains(other));
+        let released = outdated.into_iter();
+        self.changes
+            .extend(released.map(|parts| QuarantineChange::Release { parts }));
+        self.drop_suspicions_explained_by(&parts);
+        if self.quarantined.len() >= MAX_QUARANTINES {
+            return;
+        }
+        self.quarantined.push(parts.clone());
+        self.changes
+            .push(QuarantineChange::Start { parts, endpoints });
+    }
+
+    fn drop_suspicions_explained_by(&mut self, parts: &[ids::PartId]) {
+        let crashes = self.crashes.iter();
+        let explained = crashes.filter(|crash| crash.is_explained_by(parts));
+        let numbers: Vec<u64> = explained.map(|crash| crash.number).collect();
+        self.drop_suspicions(&numbers);
+    }
+
+    fn drop_suspicions(&mut self, crashes: &[u64]) {
+        self.suspected.retain(|_, numbers| {
+            numbers.retain(|number| !crashes.contains(number));
+            !numbers.is_empty()
+        });
+    }
+
+    fn remove_crash(&mut self, index: usize) {
+        if let Some(crash) = self.crashes.remove(index) {
+            self.drop_suspicions(&[crash.number]);
+        }
+    }
+}
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -74,6 +74,10 @@
     pub priority: u8,
     /// Endpoints that must not be used.
     pub excluded: Vec<ids::EndpointId>,
+    /// Parts of the prompt that other prompts may share. Sent beside the request, so that builds
+    /// without them can decode it.
+    #[serde(skip)]
+    pub shared_parts: Vec<ids::PartId>,
     /// Whether an earlier attempt was made, so that this one counts against the retry budget.
     pub is_retry: bool,
 }
@@ -120,6 +124,8 @@
     TooLarge,
     /// The retry budget is exhausted.
     RetryBudget,
+    /// Endpoints crash on prompts like this one.
+    Quarantined,
 }
 
 impl DeclineReason {
@@ -130,6 +136,7 @@
             Self::Overloaded => "overloaded",
             Self::TooLarge => "too_large",
             Self::RetryBudget => "retry_budget",
+            Self::Quarantined => "prompt_quarantined",
         }
     }
 }
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -13,6 +13,7 @@
 use model::serving;
 
 use crate::budget;
+use crate::crashes;
 use crate::engine;
 use crate::health;
 use crate::job;
@@ -51,6 +52,8 @@
 const CALL_SAMPLE_WEIGHT: f64 = 0.05;
 /// Requests per slot up to which late calls are placed in the queue of a plain service.
 const MAX_CALLS_PER_SLOT: f64 = 2.0;
+/// Time for which an answer is written after which its prompt counts as sound, ms.
+const WRITTEN_MS: f64 = 1_000.0;
 /// Time past its deadline after which a job is removed if its daemon hasn't reported its end, ms.
 const JOB_EXPIRY_MS: f64 = 5_000.0;
 
@@ -86,6 +89,9 @@
     retry_budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
     call_means_ms: map::HashMap<ids::ServiceId, f64>,
     retry_share: f64,
+    crash_tracker: crashes::CrashTracker,
+    /// Quarantined parts, and the time until which they are, ms.
+    quarantines: Vec<(crashes::PartQuarantine, f64)>,
     decisions: Vec<(job::JobId, job::PlacementDecision)>,
 }
 
@@ -102,6 +108,8 @@
             retry_budgets: map::HashMap::default(),
             call_means_ms: map::HashMap::default(),
             retry_share: 1.0,
+            crash_tracker: crashes::CrashTracker::default(),
+            quarantines: Vec::new(),
             decisions: Vec::new(),
         }
     }
@@ -145,10 +153,60 @@
             .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
 
+    /// Replaces the quarantined parts, each given with the time for which it remains so, ms, and
+    /// declines the waiting requests that they concern.
+    pub fn set_quarantines(&mut self, now: f64, listed: Vec<(crashes::PartQuarantine, f64)>) {
+        let parts = listed
+            .iter()
+            .map(|(quarantine, _)| quarantine.parts.clone());
+        self.crash_tracker.set_quarantined(parts.collect());
+        let timed = listed.into_iter();
+        self.quarantines = timed
+            .map(|(quarantine, left_ms)| (quarantine, now + left_ms))
+            .collect();
+        for waiting in std::mem::take(&mut self.waiting) {
+            match self.quarantined_ms(now, &waiting.request.shared_parts) {
+                Some(left_ms) => self.decline_quarantined(waiting.job, left_ms),
+                None => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    /// Returns and clears the changes of the quarantined parts that have been decided here. They
+    /// take effect with [`Self::set_quarantines`].
+    pub fn take_quarantine_changes(&mut self) -> Vec<crashes::QuarantineChange> {
+        self.crash_tracker.take_changes()
+    }
+
+    /// Whether [`Self::tick`] has to be called soon, as requests wait or crashes are undecided.
+    pub fn needs_tick(&self) -> bool {
+        !self.waiting.is_empty() || self.crash_tracker.has_unsettled()
+    }
+
+    /// Returns the time for which prompts with these parts are still declined, ms, if they are.
+    fn quarantined_ms(&self, now: f64, parts: &[ids::PartId]) -> Option<f64> {
+        let mut quarantines = self.quarantines.iter();
+        let (_, until) =
+            quarantines.find(|(quarantine, until)| *until > now && quarantine.matches(parts))?;
+        Some(until - now)
+    }
+
+    fn decline_quarantined(&mut self, job: job::JobId, left_ms: f64) {
+        let decision = job::PlacementDecision::Declined {
+            reason: job::DeclineReason::Quarantined,
+            retry_after_ms: left_ms.ceil() as u64,
+        };
+        self.decisions.push((job, decision));
+    }
+
     /// Submits a request. The decision appears in [`Self::take_decisions`], at once or later. A
     /// request submitted again, over another connection, replaces the first.
     pub fn submit(&mut self, now: f64, job: job::JobId, request: job::PlacementRequest) {
         self.cancel(now, job);
+        if let Some(left_ms) = self.quarantined_ms(now, &request.shared_parts) {
+            self.decline_quarantined(job, left_ms);
+            return;
+        }
         let budget = self
             .retry_budgets
             .entry(request.service.clone())
@@ -244,7 +302,9 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.started = true;
+        job.started_at = Some(now);
+        self.crash_tracker
+            .record_response(now, &job.primary, job.placed_at);
         let arrived_at = job.placed_at + state::ONE_WAY_LATENCY_MS;
         let predicted_ms = job.predicted_first_event_at - arrived_at;
         let actual_ms = now - state::ONE_WAY_LATENCY_MS - arrived_at;
@@ -270,6 +330,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        self.record_crash_evidence(now, &job, outcome);
         for (position, usage) in job.members.iter().enumerate() {
             let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
                 continue;
@@ -294,9 +355,45 @@
         }
     }
 
+    /// Records what the end of a job shows about crashes of endpoints.
+    fn record_crash_evidence(
+        &mut self,
+        now: f64,
+        job: &state::PlacedJob,
+        outcome: &job::JobOutcome,
+    ) {
+        let tracker = &mut self.crash_tracker;
+        match outcome.signal {
+            health::HealthSignal::Success => {
+                tracker.record_response(now, &job.primary, job.placed_at);
+                tracker.record_sound(&job.shared_parts);
+            }
+            health::HealthSignal::Failed if outcome.at_fault.is_none() => {
+                let (placed_at, started_at) = (job.placed_at, job.started_at);
+                let parts = &job.shared_parts;
+                tracker.record_break(now, &job.primary, placed_at, started_at, parts);
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides on crashes that all daemons have reported by now.
+    fn settle_crashes(&mut self, now: f64) {
+        let jobs = &self.jobs;
+        let is_written = |part: ids::PartId| {
+            let mut jobs = jobs.values();
+            jobs.any(|job| {
+                let started_at = job.started_at.unwrap_or(now);
+                now - started_at >= WRITTEN_MS && job.shared_parts.contains(&part)
+            })
+        };
+        self.crash_tracker.tick(now, is_written);
+    }
+
     /// Advances time to `now`, decides on waiting requests and removes expired jobs.
     pub fn tick(&mut self, now: f64) {
         self.advance(now);
+        self.settle_crashes(now);
         let mut waiting = std::mem::take(&mut self.waiting);
         // Requests with the highest value per engine time come first.
         let value_density = |request: &state::WaitingRequest| {
@@ -650,15 +747,24 @@
             gap_objective_ms: request.gap_objective_ms,
             deadline_at: waiting.deadline_at,
             predicted_first_event_at: now + predicted_ms - state::ONE_WAY_LATENCY_MS,
-            started: false,
+            started_at: None,
             risk: risk::JobRisk::default(),
             abandon_after_ms: request.abandon_after_ms,
+            primary: self.primary_incarnation(&usages),
             members: usages,
+            shared_parts: request.shared_parts.clone(),
         };
         self.jobs.insert(waiting.job, job);
         self.update_predictions(now, waiting.job);
     }
 
+    fn primary_incarnation(&self, usages: &[state::MemberUsage]) -> crashes::EndpointIncarnation {
+        let primary = usages.first().map(|usage| usage.endpoint.clone());
+        let primary = primary.unwrap_or_else(|| ids::EndpointId::new(""));
+        let state = self.endpoints.get(&primary);
+        (primary, state.map_or(0, |state| state.live.started_ms))
+    }
+
     /// Updates the predicted risk and first event of all requests on a job's engines.
     fn update_predictions(&mut self, now: f64, id: job::JobId) {
         let Some(job) = self.jobs.get(&id) else {
@@ -676,7 +782,7 @@
                 continue;
             };
             job.risk = risk::JobRisk::predict(now, job, &forecast);
-            if let Some(prefilled_at) = forecast.prefilled_at.filter(|_| !job.started) {
+            if let Some(prefilled_at) = forecast.prefilled_at.filter(|_| job.started_at.is_none()) {
                 job.predicted_first_event_at = job.predicted_first_event_at.max(prefilled_at);
             }
         }
--- a/crates/pool/src/risk.rs
+++ b/crates/pool/src/risk.rs
@@ -26,7 +26,7 @@
             job.gap_objective_ms,
             job.abandon_after_ms,
         ));
-        if let Some(prefilled_at) = forecast.prefilled_at.filter(|_| !job.started) {
+        if let Some(prefilled_at) = forecast.prefilled_at.filter(|_| job.started_at.is_none()) {
             let first_event_ms =
                 prefilled_at.max(job.predicted_first_event_at) + state::ONE_WAY_LATENCY_MS - now;
             let client_leaves_at = job.deadline_at.min(job.placed_at + job.abandon_after_ms);
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -5,6 +5,7 @@
 use model::ids;
 use model::serving;
 
+use crate::crashes;
 use crate::health;
 use crate::job;
 use crate::passes;
@@ -67,12 +68,17 @@
     pub gap_objective_ms: f64,
     pub deadline_at: f64,
     pub predicted_first_event_at: f64,
-    pub started: bool,
+    /// Time of the first event, if there was one.
+    pub started_at: Option<f64>,
     /// Highest risk predicted since the placement; set anew by the first event.
     pub risk: risk::JobRisk,
     /// Time without an event after which the client disconnects, ms.
     pub abandon_after_ms: f64,
     pub members: Vec<MemberUsage>,
+    /// Incarnation of the endpoint that generates the response.
+    pub primary: crashes::EndpointIncarnation,
+    /// Parts of the prompt that other prompts may share.
+    pub shared_parts: Vec<ids::PartId>,
 }
 
 /// A request that has not been placed yet.
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -66,6 +66,7 @@
         remaining_ms: 10_000.0,
         priority: 1,
         excluded: Vec::new(),
+        shared_parts: Vec::new(),
         is_retry: false,
     }
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -314,6 +314,7 @@
             remaining_ms: request.submitted_at + class.deadline_ms - now,
             priority: 1,
             excluded: Vec::new(),
+            shared_parts: Vec::new(),
             is_retry: false,
         };
         self.placer.submit(now, Self::job(index), placement_request);
