End responses without end, and bound what is buffered of them

An endpoint in trouble may send bytes without end that are no response. The bytes of a stream without an event were buffered without bound too, and each read started the time for the next event anew, so that it never ended.

Plain responses, events, and replies to orders and control calls of engines are bounded now; the time for the next event counts from the last event; and a stream ends at its deadline even if bytes are always ready.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -16,6 +16,8 @@
 use crate::connect;
 use crate::wire;
 
+/// Maximum size of the response to a control call, bytes.
+const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 /// Timeout of a cancel or load call, connecting included.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -175,7 +177,8 @@
         if response.status() != http::StatusCode::OK {
             return None;
         }
-        let body = response.into_body().collect().await.ok()?;
+        let body = http_body_util::Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let body = body.collect().await.ok()?;
         Some(body.to_bytes())
     };
     time::timeout(CALL_TIMEOUT, exchange).await.ok().flatten()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,11 @@
 use crate::response;
 use crate::sse;
 
+/// Maximum size of a response that is not streamed, bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of an event, bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Reason for interrupting a response. The client's connection is closed, so that the response does
 /// not look complete.
 #[derive(Debug, thiserror::Error)]
@@ -128,8 +133,16 @@
     endpoint_response: request::EndpointResponse,
 ) -> Result<http::Response<response::ResponseBody>, BrokenAttempt> {
     let limit = millis::to_duration(request.remaining_ms());
-    let body_bytes = match time::timeout(limit, endpoint_response.body.collect()).await {
+    let body = http_body_util::Limited::new(endpoint_response.body, MAX_BODY_BYTES);
+    let body_bytes = match time::timeout(limit, body.collect()).await {
         Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err((
+                endpoint_response.attempt,
+                health::HealthSignal::Failed,
+                "answer_too_large",
+            ));
+        }
         Ok(Err(_)) => {
             return Err((
                 endpoint_response.attempt,
@@ -179,6 +192,9 @@
 }
 
 async fn read_body(body: &mut Incoming, wait_ms: f64) -> BodyRead {
+    if wait_ms <= 0.0 {
+        return BodyRead::Failed(health::HealthSignal::TimedOut, "stream_silent");
+    }
     match time::timeout(millis::to_duration(wait_ms), body.frame()).await {
         Ok(Some(Ok(frame))) => BodyRead::Bytes(frame.into_data().unwrap_or_default()),
         Ok(Some(Err(_))) => BodyRead::Failed(health::HealthSignal::Failed, "stream_torn"),
@@ -200,8 +216,11 @@
         let mut current = Some((attempt, body, splitter));
         while let Some((attempt, mut body, mut splitter)) = current.take() {
             let mut received_event = false;
+            // Bytes that complete no event don't count as progress.
+            let mut progress_at = request.state.now();
             let (signal, reason) = loop {
                 while let Some(event) = splitter.next_event() {
+                    progress_at = request.state.now();
                     if !received_event {
                         received_event = true;
                         record_first_event(&request, &attempt, first_event_recorded);
@@ -220,7 +239,14 @@
                     true => runner.next_event_timeout_ms(),
                     false => runner.first_event_timeout_ms(&attempt.plan),
                 };
-                match read_body(&mut body, wait).await {
+                if request.remaining_ms() <= 0.0 {
+                    break (health::HealthSignal::TimedOut, "deadline_passed");
+                }
+                if splitter.len() > MAX_EVENT_BYTES {
+                    break (health::HealthSignal::Failed, "event_too_large");
+                }
+                let elapsed = request.state.now() - progress_at;
+                match read_body(&mut body, wait - elapsed).await {
                     BodyRead::Bytes(bytes) => splitter.push(&bytes),
                     BodyRead::End if splitter.is_empty() => {
                         attempt.complete(&request.upstreams).await;
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -22,6 +22,8 @@
 const RESERVATION_TTL: Duration = Duration::from_millis(3_000);
 /// Interval of renewals: two may be lost before the reservation expires.
 const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
+/// Maximum size of the reply to an order, bytes.
+const MAX_REPLY_BYTES: usize = 64 * 1024;
 /// Timeout of an order, the call that reserves or releases memory on an endpoint.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between attempts to release a reservation.
@@ -177,7 +179,8 @@
         let notice = headers::parse_notice(status, response.headers());
         state.record_notice(&target.endpoint, target.started_ms, notice);
         let keep_alive = upstream::keep_alive_timeout(response.headers());
-        let body_result = response.into_body().collect().await;
+        let body = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
+        let body_result = body.collect().await;
         if body_result.is_ok() {
             upstreams.put_back(connection, keep_alive).await;
         }
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -48,6 +48,11 @@
         self.buffer.is_empty()
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     fn find_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer[..];
         // A terminator may start in the part already searched: "\r\n\r\n" is the longest.
