Resume streams that end with their connection before the first event

A response may have neither a length nor chunks and end with its connection. If its endpoint ended before it began to write, the empty body passed for a complete answer: the client got a 200 without events, and the endpoint's end counted as a success, which also hid it from the search for crashing prompts. Such a stream counts as broken off now, and is resumed elsewhere where its route allows that.

The case in stream_that_ends_inside_an_event_is_resumed_elsewhere failed before (body "" instead of four events).

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -75,6 +75,8 @@
         RawResponse::UndelimitedReset {
             body: "id: 1\ndata: piece 1\n\n",
         },
+        // Not a single event: the endpoint ended before it began to write.
+        RawResponse::Undelimited { body: "" },
     ];
     for response in bodies {
         let (store, endpoint, daemon) = start(response).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::request;
 use crate::response;
 use crate::sse;
+use crate::upstream;
 
 /// Maximum size of a response that is not streamed, bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -172,12 +173,8 @@
 ) -> http::Response<response::ResponseBody> {
     let status = endpoint_response.status;
     let headers = client_headers(&endpoint_response.headers);
-    let body = StreamBody::new(relay_events(
-        runner,
-        endpoint_response.attempt,
-        endpoint_response.body,
-        recorder,
-    ));
+    let source = EventSource::new(endpoint_response);
+    let body = StreamBody::new(relay_events(runner, source, recorder));
     let mut response = http::Response::new(Box::pin(body) as response::ResponseBody);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
@@ -203,18 +200,37 @@
     }
 }
 
-fn relay_events(
-    mut runner: request::RequestRunner,
+/// The part of a streamed response that has not been relayed yet.
+struct EventSource {
     attempt: request::ActiveAttempt,
     body: Incoming,
+    splitter: sse::EventSplitter,
+    /// Whether only the end of the connection ends the response.
+    is_undelimited: bool,
+}
+
+impl EventSource {
+    fn new(response: request::EndpointResponse) -> Self {
+        Self {
+            is_undelimited: upstream::is_undelimited(&response.headers),
+            attempt: response.attempt,
+            body: response.body,
+            splitter: sse::EventSplitter::default(),
+        }
+    }
+}
+
+fn relay_events(
+    mut runner: request::RequestRunner,
+    source: EventSource,
     recorder: OutcomeRecorder,
 ) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> {
     async_stream::stream! {
         let request = runner.request.clone();
         let mut first_event_recorded = false;
-        let splitter = sse::EventSplitter::default();
-        let mut current = Some((attempt, body, splitter));
-        while let Some((attempt, mut body, mut splitter)) = current.take() {
+        let mut current = Some(source);
+        while let Some(source) = current.take() {
+            let EventSource { attempt, mut body, mut splitter, is_undelimited } = source;
             let mut received_event = false;
             // Bytes that complete no event don't count as progress.
             let mut progress_at = request.state.now();
@@ -248,6 +264,10 @@
                 let elapsed = request.state.now() - progress_at;
                 match read_body(&mut body, wait - elapsed).await {
                     BodyRead::Bytes(bytes) => splitter.push(&bytes),
+                    // An endpoint that ends before its first event closes the connection likewise.
+                    BodyRead::End if is_undelimited && !received_event => {
+                        break (health::HealthSignal::Failed, "stream_empty");
+                    }
                     BodyRead::End if splitter.is_empty() => {
                         attempt.complete(&request.upstreams).await;
                         recorder.end("answered", "complete");
@@ -268,7 +288,9 @@
             // has taken over.
             let mut stalled_attempt = None;
             match signal {
-                health::HealthSignal::TimedOut => stalled_attempt = Some((attempt, body, splitter)),
+                health::HealthSignal::TimedOut => {
+                    stalled_attempt = Some(EventSource { attempt, body, splitter, is_undelimited });
+                }
                 signal => attempt.fail(signal),
             }
             match runner.resume(&plan, signal, reason).await {
@@ -277,14 +299,10 @@
                         endpoint:% = endpoint_response.attempt.plan.primary.endpoint,
                         after_event = runner.last_event;
                         "stream resumed on another endpoint");
-                    if let Some((attempt, ..)) = stalled_attempt.take() {
-                        attempt.fail(signal);
+                    if let Some(source) = stalled_attempt.take() {
+                        source.attempt.fail(signal);
                     }
-                    current = Some((
-                        endpoint_response.attempt,
-                        endpoint_response.body,
-                        sse::EventSplitter::default(),
-                    ));
+                    current = Some(EventSource::new(endpoint_response));
                 }
                 Err(_) if stalled_attempt.is_some() => {
                     log::info!(target: "sardinepaddle", request = request.hints.attempt_id;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -164,6 +164,12 @@
     })
 }
 
+/// Returns whether a response has neither a length nor chunks, and so ends with its connection.
+pub(crate) fn is_undelimited(headers: &http::HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns how long an endpoint keeps an idle connection open: zero if it closes it, `None` if it
 /// does not say.
 pub(crate) fn keep_alive_timeout(headers: &http::HeaderMap) -> Option<Duration> {
