Don't report a request as not run that may have crashed its endpoint

A request that is sent over a reused connection and finds it closed is sent once more over a new one. If the endpoint could not be reached then, the attempt counted as not run: the client got a 503, which promises that, although the endpoint may have crashed on the request.

The error of the first send decides now. The test got 503 before, and gets 502.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -68,6 +68,16 @@
     });
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashed_its_endpoint_on_a_reused_connection_is_not_said_to_be_not_run() {
+    let (_store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "r1").status, 200);
+    endpoints[0].set_script(EndpointScript::Crash { down_ms: 3_000 });
+    let response = daemon.call("GET /safe/ HTTP/1.1", "r2");
+    assert_eq!(endpoints[0].requests().len(), 2);
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_routes_and_keys_are_refused() {
     let (_store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -834,19 +834,26 @@
     headers: http::HeaderMap,
 ) -> upstream::Result<ExchangeReply> {
     let mut force_new = !request.route_match.route.retry_safety.is_retryable();
+    let mut first_error = None;
     loop {
-        let mut connection = request
-            .upstreams
-            .connect(primary.address, force_new)
-            .await?;
+        let connected = request.upstreams.connect(primary.address, force_new).await;
+        let mut connection = match (connected, first_error.take()) {
+            (Ok(connection), _) => connection,
+            // The endpoint may have run the request and ended on it.
+            (Err(_), Some(first_error)) => return Err(first_error),
+            (Err(error), None) => return Err(error),
+        };
         let mut outgoing = http::Request::builder()
             .method(request.method.clone())
             .uri(request.path.as_str())
             .body(Full::new(request.body.clone()))?;
         *outgoing.headers_mut() = headers.clone();
         match connection.exchange(outgoing).await {
-            Err(upstream::UpstreamError::Stale(_)) if request.state.may_send(&primary.endpoint) => {
+            Err(error @ upstream::UpstreamError::Stale(_))
+                if request.state.may_send(&primary.endpoint) =>
+            {
                 force_new = true;
+                first_error = Some(error);
             }
             reply => return Ok((connection, reply?)),
         }
