Failing tests: endpoints that name a limit of requests per second

Three daemons before two endpoints, of which one names Server-Limit 1.5: it got 173 requests within 4 s, at most 14 are allowed.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -3,6 +3,7 @@
 mod crashing_parts;
 mod endpoint_notices;
 mod placer_selection;
+mod rate_limits;
 mod raw_responses;
 mod store_return;
 mod support;
