Keep to the limits of requests per second that endpoints name

Cause: the header was unknown to us, so nothing bounded what all daemons together send. The class is a limit that holds for all senders and is known to those at most that had a response.

The first placement under a limit waits its turn, since others may have sent just before. A request that no turn is left for is refused at once, with the time of the first.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -440,7 +440,7 @@
         } = sent;
         let checked = match reply {
             Ok((connection, response)) => {
-                self.record_notice(&plan.primary.endpoint, started_ms, &response);
+                self.record_notice(&plan.primary.endpoint, started_ms, placed_at, &response);
                 let keep_alive = upstream::keep_alive_timeout(response.headers());
                 let checked = self.check_response(response, &plan).await;
                 checked.map(|parts| (connection, keep_alive, parts))
@@ -473,13 +473,14 @@
         &self,
         endpoint: &ids::EndpointId,
         started_ms: u64,
+        sent_at: f64,
         response: &http::Response<Incoming>,
     ) {
         let (status, headers) = (response.status(), response.headers());
         if !headers::parse_marks(status, headers).misdirected {
             let notice = headers::parse_notice(status, headers);
             let state = &self.request.state;
-            state.record_notice(endpoint, started_ms, notice);
+            state.record_notice(endpoint, started_ms, notice, Some(sent_at));
         }
     }
 
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -177,7 +177,7 @@
         let response = connection.exchange(request).await?;
         let status = response.status();
         let notice = headers::parse_notice(status, response.headers());
-        state.record_notice(&target.endpoint, target.started_ms, notice);
+        state.record_notice(&target.endpoint, target.started_ms, notice, None);
         let keep_alive = upstream::keep_alive_timeout(response.headers());
         let body = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
         let body_result = body.collect().await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use platform::headers;
 use pool::crashes;
 use pool::job;
+use pool::limits;
 use pool::placer;
 use pool::quiet;
 use pool::rank;
@@ -44,6 +45,11 @@
 /// Fraction of the retry budget shared by all daemons while each places only its own requests.
 const SOLO_RETRY_FRACTION: f64 = 0.2;
 
+/// The same fractions of the limits that endpoints name. Endpoints tolerate half more than their
+/// limit, which two placers at the same time may use up.
+const SHARED_LIMIT_FRACTION: f64 = 0.75;
+const SOLO_LIMIT_FRACTION: f64 = 0.5;
+
 /// The placer of this daemon's requests.
 #[derive(Clone, Debug)]
 pub(crate) enum PlacerLocation {
@@ -88,6 +94,8 @@
     era_changes: watch::Sender<u64>,
     /// Periods in which endpoints want no requests from this daemon.
     quiet_periods: cell::RefCell<quiet::QuietPeriods>,
+    /// When the current limit of each endpoint became known, ms.
+    limits_known_since: cell::RefCell<map::HashMap<ids::EndpointId, f64>>,
     /// Quarantined parts of prompts, and the time until which they are, ms.
     quarantines: cell::RefCell<Vec<(crashes::PartQuarantine, f64)>>,
     /// Time of the shutdown request, ms.
@@ -136,6 +144,7 @@
             changes: watch::Sender::new(0),
             era_changes: watch::Sender::new(0),
             quiet_periods: cell::RefCell::default(),
+            limits_known_since: cell::RefCell::default(),
             quarantines: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
             unreachable_kinds: cell::RefCell::default(),
@@ -251,8 +260,11 @@
         if change.quarantines {
             self.update_quarantines(now);
         }
+        if change.limits && change.kinds.is_empty() {
+            self.update_limits(&self.cache.borrow());
+        }
         if change.kinds.is_empty() {
-            if change.quarantines {
+            if change.quarantines || change.limits {
                 self.changes.send_replace(self.cache.borrow().last_change());
             }
             return;
@@ -260,7 +272,7 @@
         let cache = self.cache.borrow();
         if change.kinds.contains(&catalog::ObjectKind::Daemons) {
             self.rank.borrow_mut().set_daemons(cache.daemons());
-            self.update_retry_share();
+            self.update_shares();
         }
         self.update_placer(&cache);
         self.changes.send_replace(cache.last_change());
@@ -308,6 +320,19 @@
         let mut placer = self.placer.borrow_mut();
         placer.set_services(&cache.index().config().services);
         placer.set_endpoints(&cache.endpoints(), cache.closed_centres());
+        drop(placer);
+        self.update_limits(cache);
+    }
+
+    fn update_limits(&self, cache: &store_cache::StoreCache) {
+        let (named, now) = (cache.limits(), self.now());
+        let mut known_since = self.limits_known_since.borrow_mut();
+        known_since.retain(|id, _| named.iter().any(|(other, _)| other == id));
+        for (id, _) in &named {
+            known_since.entry(id.clone()).or_insert(now);
+        }
+        drop(known_since);
+        self.placer.borrow_mut().set_limits(now, &named);
     }
 
     /// Returns the start time of the listed incarnation of an endpoint, Unix ms; zero if it isn't
@@ -317,6 +342,36 @@
         cache.endpoint(id).map_or(0, |live| live.started_ms)
     }
 
+    /// Records the limit in a response of an incarnation of an endpoint, here and on the other
+    /// daemons. A response without one lifts it if its request was sent after the limit was known;
+    /// `sent_at` is `None` for responses that can't.
+    fn record_limit(
+        &self,
+        id: &ids::EndpointId,
+        started_ms: u64,
+        per_s: Option<f64>,
+        sent_at: Option<f64>,
+    ) {
+        let known = self.cache.borrow().limit(id, started_ms);
+        if known.map(|known| known.per_s) == per_s {
+            return;
+        }
+        if per_s.is_none() {
+            let known_since = self.limits_known_since.borrow().get(id).copied();
+            let is_after = |sent_at: f64| known_since.is_some_and(|since| sent_at > since);
+            if !sent_at.is_some_and(is_after) {
+                return;
+            }
+        }
+        let limit = per_s.map(|per_s| limits::EndpointLimit { started_ms, per_s });
+        let object = self.cache.borrow().limit_object(id, limit);
+        match object {
+            Ok(object) => self.apply(vec![object], "endpoint"),
+            Err(error) => log::warn!(target: "sardinepaddle", endpoint:% = id, error:% = error;
+                "limit of an endpoint not published"),
+        }
+    }
+
     /// Records what a response of an incarnation of an endpoint states about requests that follow.
     /// One that is leaving is closed at once, here and on the other daemons.
     pub fn record_notice(
@@ -324,7 +379,9 @@
         id: &ids::EndpointId,
         started_ms: u64,
         notice: headers::EndpointNotice,
+        sent_at: Option<f64>,
     ) {
+        self.record_limit(id, started_ms, notice.rate_limit, sent_at);
         if let Some(period) = notice.quiet_period {
             log::info!(target: "sardinepaddle", endpoint:% = id, period_ms = period.as_millis();
                 "endpoint wants no requests for a time");
@@ -771,10 +828,10 @@
         sender: mpsc::UnboundedSender<message::PlacementMessage>,
     ) {
         self.followers.borrow_mut().connect(incarnation, sender);
-        self.update_retry_share();
+        self.update_shares();
     }
 
-    fn update_retry_share(&self) {
+    fn update_shares(&self) {
         let daemons = self.rank.borrow().daemons().len().max(1) as f64;
         let is_solo = self.followers.borrow().is_empty();
         let share = if is_solo {
@@ -782,7 +839,14 @@
         } else {
             SHARED_RETRY_FRACTION
         };
-        self.placer.borrow_mut().set_retry_share(share);
+        let limit_share = if is_solo {
+            SOLO_LIMIT_FRACTION / daemons
+        } else {
+            SHARED_LIMIT_FRACTION
+        };
+        let mut placer = self.placer.borrow_mut();
+        placer.set_retry_share(share);
+        placer.set_limit_share(limit_share);
     }
 
     /// Removes a follower whose connection has closed.
@@ -798,7 +862,7 @@
             return;
         }
         self.follower_reachability.borrow_mut().remove(host);
-        self.update_retry_share();
+        self.update_shares();
         self.placer
             .borrow_mut()
             .cancel_incarnation(self.now(), incarnation);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -11,6 +11,7 @@
 use platform::catalog;
 use pool::crashes;
 use pool::holds;
+use pool::limits;
 use pool::replica;
 use pool::routes;
 
@@ -31,6 +32,9 @@
 /// Number of another such kind: parts of prompts that are quarantined, named by the parts. The
 /// revision is the time of the change, Unix ms.
 const QUARANTINE_KIND: u8 = u8::MAX - 1;
+/// Number of another such kind: limits that endpoints name, by endpoint. The revision is the time
+/// of the change, Unix ms.
+const LIMIT_KIND: u8 = u8::MAX - 2;
 /// Age reported for a kind that was never listed, ms.
 const NEVER_SYNCED_AGE_MS: u64 = 1_000_000_000;
 
@@ -41,6 +45,8 @@
     pub kinds: Vec<catalog::ObjectKind>,
     /// Whether the quarantined parts changed.
     pub quarantines: bool,
+    /// Whether the limits that endpoints name changed.
+    pub limits: bool,
 }
 
 /// Decoded copy of the store's objects.
@@ -264,20 +270,60 @@
         is_quarantined: bool,
     ) -> io::Result<replica::ReplicaObject> {
         let names: Vec<String> = parts.iter().map(ids::PartId::to_string).collect();
-        let name = names.join("+");
-        let now_ms = millis::since_epoch();
-        let known = self.replica.object(QUARANTINE_KIND, &name);
-        let revision = known.map_or(now_ms, |known| now_ms.max(known.revision + 1));
         let quarantine = crashes::PartQuarantine {
             parts: parts.to_vec(),
-            until_ms: now_ms + crashes::QUARANTINE_MS as u64,
+            until_ms: millis::since_epoch() + crashes::QUARANTINE_MS as u64,
         };
-        let spec = postcard::to_stdvec(&quarantine).map_err(io::Error::other)?;
+        let quarantine = is_quarantined.then_some(&quarantine);
+        self.own_object(QUARANTINE_KIND, names.join("+"), quarantine)
+    }
+
+    /// Returns the limit that an endpoint named, unless it is that of another incarnation.
+    pub fn limit(&self, id: &ids::EndpointId, started_ms: u64) -> Option<limits::EndpointLimit> {
+        let object = self.replica.object(LIMIT_KIND, id.as_str())?;
+        let limit = decode_limit(object)?;
+        (limit.started_ms == started_ms).then_some(limit)
+    }
+
+    /// Returns the limits that listed endpoints named.
+    pub fn limits(&self) -> Vec<(ids::EndpointId, limits::EndpointLimit)> {
+        let objects = self.replica.present(LIMIT_KIND);
+        let named = objects.filter_map(|object| {
+            let id = ids::EndpointId::new(&object.name);
+            self.endpoints.contains_key(&id).then_some(())?;
+            Some((id, decode_limit(object)?))
+        });
+        named.collect()
+    }
+
+    /// Returns the object that states the limit of an endpoint here and at other daemons, or that
+    /// it has none any more.
+    pub fn limit_object(
+        &self,
+        id: &ids::EndpointId,
+        limit: Option<limits::EndpointLimit>,
+    ) -> io::Result<replica::ReplicaObject> {
+        self.own_object(LIMIT_KIND, id.as_str().to_owned(), limit.as_ref())
+    }
+
+    /// Returns an object of a kind that the store doesn't have, as of now; `None` removes it.
+    fn own_object<T: serde::Serialize>(
+        &self,
+        kind: u8,
+        name: String,
+        content: Option<&T>,
+    ) -> io::Result<replica::ReplicaObject> {
+        let now_ms = millis::since_epoch();
+        let known = self.replica.object(kind, &name);
+        // The clock may have been set back since the last change.
+        let revision = known.map_or(now_ms, |known| now_ms.max(known.revision + 1));
+        let spec = content.map(postcard::to_stdvec).transpose();
+        let spec = spec.map_err(io::Error::other)?;
         Ok(replica::ReplicaObject {
-            kind: QUARANTINE_KIND,
+            kind,
             name,
             revision,
-            spec: is_quarantined.then(|| Bytes::from(spec)),
+            spec: spec.map(Bytes::from),
             era: 0,
             version: 0,
         })
@@ -290,7 +336,7 @@
         objects: Vec<replica::ReplicaObject>,
         source: &str,
     ) -> CacheChange {
-        let mut quarantines = false;
+        let (mut quarantines, mut limits) = (false, false);
         let mut changed = [false; KIND_COUNT];
         for mut object in objects {
             self.observe_era(object.era, source);
@@ -317,6 +363,12 @@
                     source; "quarantine of prompt parts changed");
                 quarantines = true;
             }
+            if is_applied && number == LIMIT_KIND {
+                let limit = self.replica.object(number, &name).and_then(decode_limit);
+                log::info!(target: "sardinepaddle", endpoint = name, source,
+                    per_s:? = limit.map(|limit| limit.per_s); "limit of an endpoint changed");
+                limits = true;
+            }
             match kind {
                 Some(kind) if is_applied => changed[kind as usize] = true,
                 Some(kind @ catalog::ObjectKind::Config) => {
@@ -331,7 +383,11 @@
         for kind in &kinds {
             self.decode(now, *kind, source);
         }
-        CacheChange { kinds, quarantines }
+        CacheChange {
+            kinds,
+            quarantines,
+            limits,
+        }
     }
 
     /// Returns the object that closes an incarnation of an endpoint to new requests, here and at
@@ -464,3 +520,14 @@
         self.daemons = daemons;
     }
 }
+
+/// Returns the limit in an object; `None` if it was removed or can't be read.
+fn decode_limit(object: &replica::ReplicaObject) -> Option<limits::EndpointLimit> {
+    let decoded = postcard::from_bytes(object.spec.as_deref()?);
+    decoded
+        .inspect_err(|error| {
+            log::warn!(target: "sardinepaddle", endpoint = object.name, error:% = error;
+                "invalid limit of an endpoint skipped");
+        })
+        .ok()
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod holds;
 pub mod job;
+pub mod limits;
 pub mod passes;
 pub mod placer;
 pub mod quiet;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -17,6 +17,7 @@
 use crate::engine;
 use crate::health;
 use crate::job;
+use crate::limits;
 use crate::members;
 use crate::passes;
 use crate::prompt_search;
@@ -89,6 +90,7 @@
     retry_budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
     call_means_ms: map::HashMap<ids::ServiceId, f64>,
     retry_share: f64,
+    rate_limits: limits::RateLimits,
     crash_tracker: crashes::CrashTracker,
     /// Quarantined parts, and the time until which they are, ms.
     quarantines: Vec<(crashes::PartQuarantine, f64)>,
@@ -108,6 +110,7 @@
             retry_budgets: map::HashMap::default(),
             call_means_ms: map::HashMap::default(),
             retry_share: 1.0,
+            rate_limits: limits::RateLimits::default(),
             crash_tracker: crashes::CrashTracker::default(),
             quarantines: Vec::new(),
             decisions: Vec::new(),
@@ -119,6 +122,16 @@
         self.retry_share = share;
     }
 
+    /// Sets the share of the limits that endpoints name that this placer may use.
+    pub fn set_limit_share(&mut self, share: f64) {
+        self.rate_limits.set_share(share);
+    }
+
+    /// Replaces the limits that endpoints name.
+    pub fn set_limits(&mut self, now: f64, named: &[(ids::EndpointId, limits::EndpointLimit)]) {
+        self.rate_limits.set_limits(now, named);
+    }
+
     /// Replaces the services by those of a new configuration.
     pub fn set_services(
         &mut self,
@@ -460,23 +473,42 @@
         };
         if let Some(scored_plan) = scored_plan {
             let predicted_ms = scored_plan.plan.predicted_ms;
+            for member in scored_plan.plan.members() {
+                self.rate_limits.record_placement(now, &member.endpoint);
+            }
             self.place(now, waiting, scored_plan.usages, predicted_ms);
             let decision = job::PlacementDecision::Placed(scored_plan.plan);
             self.decisions.push((waiting.job, decision));
             return true;
         }
-        let unservable = waiting.is_unservable(now);
+        let next_at = self.next_turn_at(&waiting.request).max(now);
+        let unservable = waiting.is_unservable(next_at);
         if unservable {
-            self.decline(waiting.job, job::DeclineReason::Overloaded);
+            self.decline_until(waiting.job, job::DeclineReason::Overloaded, next_at - now);
         }
         unservable
     }
 
+    /// Returns the time from which the limits let one of the endpoints that a request may run on
+    /// get it, ms.
+    fn next_turn_at(&self, request: &job::PlacementRequest) -> f64 {
+        let endpoints = self.available(&request.service).map(|(_, state)| state);
+        let usable = endpoints.filter(|state| !request.excluded.contains(&state.live.id));
+        let turns = usable.map(|state| self.rate_limits.next_at(&state.live));
+        turns.min_by(f64::total_cmp).unwrap_or(f64::NEG_INFINITY)
+    }
+
     fn decline(&mut self, job: job::JobId, reason: job::DeclineReason) {
+        self.decline_until(job, reason, 0.0);
+    }
+
+    /// Declines a request that can't be placed for `turn_ms`.
+    fn decline_until(&mut self, job: job::JobId, reason: job::DeclineReason, turn_ms: f64) {
         let (shortest, longest) = RETRY_AFTER_RANGE_MS;
         // Spreads the retries of clients that were declined at the same time.
         let jitter = job.number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
         let retry_after_ms = shortest + jitter % (longest - shortest);
+        let retry_after_ms = retry_after_ms.max(turn_ms.ceil() as u64);
         let decision = job::PlacementDecision::Declined {
             reason,
             retry_after_ms,
@@ -557,6 +589,7 @@
             .copied()
             .filter(|state| !request.excluded.contains(&state.live.id))
             .filter(|state| !state.health.is_backed_off(now))
+            .filter(|state| self.rate_limits.accepts(now, &state.live))
             .filter(|state| state.sends_since(now - 1_000.0) + 1.0 <= rate_limit)
             .collect();
         match (request.kind, engine) {
