--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -42,6 +42,15 @@
         self.child.id()
     }
 
+    /// Its highest memory use so far, KB; zero once it has ended.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+
     /// Whether it has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
