Weigh sound answers before a part is quarantined

The soak found it: with several crashing parts at once, the part that all prompts share was in more crashes than each of them, and was quarantined.

A part now needs three crashes more than the sound answers on it of the last minute (512 at most), not only since its crashes, and one that a quarter of those answers had is no suspect. An answer that was written for 0.4 s before its endpoint ended counts as sound. Of two causes that can't be told apart both are quarantined, but a third one ends neither, and only such a quarantine ends once another one explains its crashes.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -19,17 +19,23 @@
 /// Time within which crashes count as one, ms; a rack or data centre that fails ends many endpoints
 /// at once.
 const SAME_CAUSE_MS: f64 = 50.0;
-/// Time after the first event of an answer in which its part can be the cause of a crash, ms.
-const BEGIN_MS: f64 = 1_000.0;
+/// Time after the first event of an answer in which its prompt can be the cause of a crash, ms; an
+/// answer that is written for longer shows that its parts are sound.
+pub const BEGIN_MS: f64 = 400.0;
 /// Time after a crash in which a response shows that the endpoint only lost connections, ms; a
 /// crashed endpoint takes longer to start.
 const ALIVE_MS: f64 = 1_000.0;
 /// Number of crashes for which a part is quarantined.
 const MIN_CRASHES: usize = 3;
-/// The same if prompts without a part in common are equally suspected.
+/// The same if two prompts without a part in common are equally suspected.
 const MIN_AMBIGUOUS_CRASHES: usize = 5;
 /// Time for which a crash is remembered, ms.
 const EVIDENCE_MS: f64 = 120_000.0;
+/// Number of the latest sound answers that are remembered, time for which they are, ms, and share of
+/// them from which a part is taken for sound. Such a part is in nearly every crash too.
+const MAX_SOUND: usize = 512;
+const SOUND_MS: f64 = 60_000.0;
+const POPULAR_SHARE: f64 = 0.25;
 /// Maximum number of remembered crashes, of prompts of a crash, and of quarantines.
 const MAX_CRASHES: usize = 64;
 const MAX_SUSPECTS: usize = 64;
@@ -80,7 +86,11 @@
     last_number: u64,
     /// Numbers of the crashes for which a part is suspected, oldest first.
     suspected: map::HashMap<ids::PartId, Vec<u64>>,
+    /// Times and parts of the latest sound answers, oldest first.
+    sound: collections::VecDeque<(f64, Vec<ids::PartId>)>,
     quarantined: Vec<Vec<ids::PartId>>,
+    /// Those of them that were quarantined as one of two possible causes.
+    ambiguous: Vec<Vec<ids::PartId>>,
     changes: Vec<QuarantineChange>,
 }
 
@@ -104,8 +114,11 @@
         started_at: Option<f64>,
         parts: &[ids::PartId],
     ) {
-        let is_past_begin = started_at.is_some_and(|started_at| now - started_at > BEGIN_MS);
-        if parts.is_empty() || is_past_begin {
+        if parts.is_empty() {
+            return;
+        }
+        if started_at.is_some_and(|started_at| now - started_at > BEGIN_MS) {
+            self.record_sound(now, parts);
             return;
         }
         let mut crashes = self.crashes.iter_mut().rev();
@@ -161,8 +174,15 @@
         }
     }
 
-    /// Records a complete answer on a prompt.
-    pub fn record_sound(&mut self, parts: &[ids::PartId]) {
+    /// Records that an answer on a prompt is complete, or was written for a while.
+    pub fn record_sound(&mut self, now: f64, parts: &[ids::PartId]) {
+        if parts.is_empty() {
+            return;
+        }
+        if self.sound.len() >= MAX_SOUND {
+            self.sound.pop_front();
+        }
+        self.sound.push_back((now, parts.to_vec()));
         for part in parts {
             let Some(numbers) = self.suspected.get_mut(part) else {
                 continue;
@@ -177,11 +197,10 @@
             quarantined.any(|part| parts.contains(part))
         };
         while let Some(index) = self.quarantined.iter().position(sound) {
-            let released = self.quarantined.swap_remove(index);
+            let released = self.quarantined[index].clone();
             let rest = released.iter().filter(|part| !parts.contains(part));
             let rest: Vec<_> = rest.copied().collect();
-            self.changes
-                .push(QuarantineChange::Release { parts: released });
+            self.release(vec![released]);
             if !rest.is_empty() {
                 self.quarantine(rest);
             }
@@ -222,11 +241,14 @@
         let mut parts: Vec<_> = crash.suspects.iter().flatten().copied().collect();
         parts.sort_unstable();
         parts.dedup();
-        parts.retain(|part| !written_parts.contains(part));
+        parts.retain(|part| !written_parts.contains(part) && !self.is_popular(crash.at, *part));
         for part in &parts {
             self.suspected.entry(*part).or_default().push(crash.number);
         }
-        let count = |part: &ids::PartId| self.suspected.get(part).map_or(0, Vec::len);
+        let count = |part: &ids::PartId| {
+            let crashes = self.suspected.get(part).map_or(0, Vec::len);
+            crashes.saturating_sub(self.sound_count(crash.at, *part))
+        };
         let highest = parts.iter().map(count).max().unwrap_or(0);
         if highest < MIN_CRASHES {
             return;
@@ -240,18 +262,31 @@
                 causes.push(common);
             }
         }
-        if causes.len() > 1 && highest < MIN_AMBIGUOUS_CRASHES {
-            return;
-        }
-        for cause in &causes {
-            let is_wider =
-                |other: &Vec<ids::PartId>| other != cause && quarantine::contains_all(cause, other);
-            if !causes.iter().any(is_wider) {
-                self.quarantine(cause.clone());
+        match causes.as_slice() {
+            [cause] => self.quarantine(cause.clone()),
+            [_, _] if highest >= MIN_AMBIGUOUS_CRASHES => {
+                for cause in &causes {
+                    self.quarantine(cause.clone());
+                }
+                self.ambiguous.extend(causes);
             }
+            _ => {}
         }
     }
 
+    /// Returns the number of the latest sound answers on a part.
+    fn sound_count(&self, now: f64, part: ids::PartId) -> usize {
+        let recent = self.sound.iter().filter(|(at, _)| now - at <= SOUND_MS);
+        recent.filter(|(_, parts)| parts.contains(&part)).count()
+    }
+
+    /// Whether a part was in a considerable share of the latest sound answers.
+    fn is_popular(&self, now: f64, part: ids::PartId) -> bool {
+        let recent = self.sound.iter().filter(|(at, _)| now - at <= SOUND_MS);
+        let share = self.sound_count(now, part) as f64 / recent.count().max(1) as f64;
+        share >= POPULAR_SHARE
+    }
+
     /// Quarantines parts, and releases those for which another reason is known now.
     fn quarantine(&mut self, parts: Vec<ids::PartId>) {
         let explained = |crash: &&CrashRecord| crash.is_explained_by(&parts);
@@ -262,21 +297,15 @@
         endpoints.dedup();
         let is_outdated = |other: &Vec<ids::PartId>| {
             let crashes = self.crashes.iter();
-            let seen = crashes.filter(|crash| crash.is_explained_by(other));
-            let (explained, open): (Vec<_>, Vec<_>) =
-                seen.partition(|crash| crash.is_explained_by(&parts));
-            explained.len() + open.len() >= MIN_CRASHES && open.len() < MIN_CRASHES
+            let mut unexplained = crashes
+                .filter(|crash| crash.is_explained_by(other) && !crash.is_explained_by(&parts));
+            unexplained.nth(MIN_CRASHES - 1).is_none()
         };
-        let outdated: Vec<_> = self
-            .quarantined
-            .iter()
-            .filter(|other| is_outdated(other))
-            .cloned()
-            .collect();
-        self.quarantined.retain(|other| !outdated.contains(other));
-        let released = outdated.into_iter();
-        self.changes
-            .extend(released.map(|parts| QuarantineChange::Release { parts }));
+        let (outdated, ambiguous) = std::mem::take(&mut self.ambiguous)
+            .into_iter()
+            .partition(is_outdated);
+        self.ambiguous = ambiguous;
+        self.release(outdated);
         self.drop_suspicions_explained_by(&parts);
         if self.quarantined.len() >= MAX_QUARANTINES {
             return;
@@ -286,6 +315,14 @@
             .push(QuarantineChange::Start { parts, endpoints });
     }
 
+    fn release(&mut self, released: Vec<Vec<ids::PartId>>) {
+        self.quarantined.retain(|parts| !released.contains(parts));
+        self.ambiguous.retain(|parts| !released.contains(parts));
+        let changes = released.into_iter();
+        self.changes
+            .extend(changes.map(|parts| QuarantineChange::Release { parts }));
+    }
+
     fn drop_suspicions_explained_by(&mut self, parts: &[ids::PartId]) {
         let crashes = self.crashes.iter();
         let explained = crashes.filter(|crash| crash.is_explained_by(parts));
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -54,8 +54,6 @@
 const CALL_SAMPLE_WEIGHT: f64 = 0.05;
 /// Requests per slot up to which late calls are placed in the queue of a plain service.
 const MAX_CALLS_PER_SLOT: f64 = 2.0;
-/// Time for which an answer is written after which its prompt counts as sound, ms.
-const WRITTEN_MS: f64 = 1_000.0;
 /// Time past its deadline after which a job is removed if its daemon hasn't reported its end, ms.
 const JOB_EXPIRY_MS: f64 = 5_000.0;
 
@@ -369,7 +367,7 @@
         match outcome.signal {
             health::HealthSignal::Success => {
                 tracker.record_response(now, &job.primary, job.placed_at);
-                tracker.record_sound(&job.shared_parts);
+                tracker.record_sound(now, &job.shared_parts);
             }
             health::HealthSignal::Failed if outcome.at_fault.is_none() => {
                 let (placed_at, started_at) = (job.placed_at, job.started_at);
@@ -390,7 +388,7 @@
         let written_parts = || {
             let is_written = |job: &&state::PlacedJob| {
                 let started_at = job.started_at.unwrap_or(now);
-                now - started_at >= WRITTEN_MS
+                now - started_at >= crashes::BEGIN_MS
             };
             let written = jobs.values().filter(is_written);
             written
