--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -77,6 +77,19 @@
         let mut suspects = self.suspects.iter();
         suspects.any(|prompt| quarantine::contains_all(prompt, parts))
     }
+
+    /// Returns the combinations of some parts in which its prompts had them.
+    fn causes_among(&self, parts: &[ids::PartId]) -> Vec<Vec<ids::PartId>> {
+        let mut causes: Vec<Vec<ids::PartId>> = Vec::new();
+        for prompt in &self.suspects {
+            let common = parts.iter().filter(|part| prompt.contains(part));
+            let common: Vec<_> = common.copied().collect();
+            if !common.is_empty() && !causes.contains(&common) {
+                causes.push(common);
+            }
+        }
+        causes
+    }
 }
 
 /// Collects crashes and sound answers, and decides which parts are quarantined.
@@ -232,36 +245,37 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Suspects the parts of a crash's prompts, and quarantines the part that is suspected most if
+    /// that is clear.
     fn decide(&mut self, index: usize, written_parts: &map::HashSet<ids::PartId>) {
         let crash = self.crashes[index].clone();
         let mut quarantined = self.quarantined.iter();
         if quarantined.any(|parts| crash.is_explained_by(parts)) {
             return;
         }
+        let (answers, sound_counts) = self.sound_counts(crash.at);
+        let sound_count = |part: &ids::PartId| sound_counts.get(part).copied().unwrap_or(0);
+        let is_popular = |part: &ids::PartId| {
+            let count = sound_count(part);
+            count > 0 && count as f64 >= POPULAR_SHARE * answers as f64
+        };
         let mut parts: Vec<_> = crash.suspects.iter().flatten().copied().collect();
         parts.sort_unstable();
         parts.dedup();
-        parts.retain(|part| !written_parts.contains(part) && !self.is_popular(crash.at, *part));
+        parts.retain(|part| !written_parts.contains(part) && !is_popular(part));
         for part in &parts {
             self.suspected.entry(*part).or_default().push(crash.number);
         }
         let count = |part: &ids::PartId| {
             let crashes = self.suspected.get(part).map_or(0, Vec::len);
-            crashes.saturating_sub(self.sound_count(crash.at, *part))
+            crashes.saturating_sub(sound_count(part))
         };
         let highest = parts.iter().map(count).max().unwrap_or(0);
         if highest < MIN_CRASHES {
             return;
         }
         parts.retain(|part| count(part) == highest);
-        let mut causes: Vec<Vec<ids::PartId>> = Vec::new();
-        for prompt in &crash.suspects {
-            let common = parts.iter().filter(|part| prompt.contains(part));
-            let common: Vec<_> = common.copied().collect();
-            if !common.is_empty() && !causes.contains(&common) {
-                causes.push(common);
-            }
-        }
+        let causes = crash.causes_among(&parts);
         match causes.as_slice() {
             [cause] => self.quarantine(cause.clone()),
             [_, _] if highest >= MIN_AMBIGUOUS_CRASHES => {
@@ -274,17 +288,17 @@
         }
     }
 
-    /// Returns the number of the latest sound answers on a part.
-    fn sound_count(&self, now: f64, part: ids::PartId) -> usize {
-        let recent = self.sound.iter().filter(|(at, _)| now - at <= SOUND_MS);
-        recent.filter(|(_, parts)| parts.contains(&part)).count()
-    }
-
-    /// Whether a part was in a considerable share of the latest sound answers.
-    fn is_popular(&self, now: f64, part: ids::PartId) -> bool {
-        let recent = self.sound.iter().filter(|(at, _)| now - at <= SOUND_MS);
-        let share = self.sound_count(now, part) as f64 / recent.count().max(1) as f64;
-        share >= POPULAR_SHARE
+    /// Returns the number of the latest sound answers, and how many of them each part was in.
+    fn sound_counts(&self, now: f64) -> (usize, map::HashMap<ids::PartId, usize>) {
+        let mut counts = map::HashMap::default();
+        let mut answers = 0;
+        for (_, parts) in self.sound.iter().filter(|(at, _)| now - at <= SOUND_MS) {
+            answers += 1;
+            for part in parts {
+                *counts.entry(*part).or_default() += 1;
+            }
+        }
+        (answers, counts)
     }
 
     /// Quarantines parts, and releases those for which another reason is known now.
