Only the placer quarantines parts, and a set of parts only ends as a whole

Followers no longer decide. A quarantine of several parts ends with an answer on a prompt that has all of them; an answer on some of them says nothing against the others. The crashes that such a set explains stay in memory, so that the next crash tells its parts apart at once.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -289,6 +289,15 @@
     /// Publishes the changes of quarantined parts that the local placer has decided.
     fn publish_quarantines(&self) {
         let changes = self.placer.borrow_mut().take_quarantine_changes();
+        let is_follower = matches!(
+            *self.placer_location.borrow(),
+            PlacerLocation::Remote { .. }
+        );
+        if is_follower && !changes.is_empty() {
+            // The local placer knows the requests of this daemon only.
+            self.update_quarantines(self.now());
+            return;
+        }
         for change in changes {
             let (parts, is_quarantined) = match &change {
                 crashes::QuarantineChange::Start { parts, .. } => (parts, true),
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -205,19 +205,11 @@
                 self.suspected.remove(part);
             }
         }
-        let sound = |quarantined: &Vec<ids::PartId>| {
-            let mut quarantined = quarantined.iter();
-            quarantined.any(|part| parts.contains(part))
-        };
-        while let Some(index) = self.quarantined.iter().position(sound) {
-            let released = self.quarantined[index].clone();
-            let rest = released.iter().filter(|part| !parts.contains(part));
-            let rest: Vec<_> = rest.copied().collect();
-            self.release(vec![released]);
-            if !rest.is_empty() {
-                self.quarantine(rest);
-            }
-        }
+        let quarantined = self.quarantined.iter();
+        let refuted =
+            quarantined.filter(|quarantined| quarantine::contains_all(parts, quarantined));
+        let refuted = refuted.cloned().collect();
+        self.release(refuted);
     }
 
     /// Whether there are crashes on which [`Self::tick`] has yet to decide.
@@ -315,11 +307,11 @@
                 .filter(|crash| crash.is_explained_by(other) && !crash.is_explained_by(&parts));
             unexplained.nth(MIN_CRASHES - 1).is_none()
         };
-        let (outdated, ambiguous) = std::mem::take(&mut self.ambiguous)
-            .into_iter()
-            .partition(is_outdated);
-        self.ambiguous = ambiguous;
-        self.release(outdated);
+        let outdated = self.ambiguous.iter().filter(|other| is_outdated(other));
+        let narrower = self.quarantined.iter();
+        let narrower = narrower.filter(|other| quarantine::contains_all(other, &parts));
+        let released = outdated.chain(narrower).cloned().collect();
+        self.release(released);
         self.drop_suspicions_explained_by(&parts);
         if self.quarantined.len() >= MAX_QUARANTINES {
             return;
@@ -329,7 +321,8 @@
             .push(QuarantineChange::Start { parts, endpoints });
     }
 
-    fn release(&mut self, released: Vec<Vec<ids::PartId>>) {
+    fn release(&mut self, mut released: Vec<Vec<ids::PartId>>) {
+        released.dedup();
         self.quarantined.retain(|parts| !released.contains(parts));
         self.ambiguous.retain(|parts| !released.contains(parts));
         let changes = released.into_iter();
@@ -337,7 +330,12 @@
             .extend(changes.map(|parts| QuarantineChange::Release { parts }));
     }
 
+    /// Drops the suspicions for crashes that a quarantined part explains. Those that parts explain
+    /// only together are kept, for the crash that tells them apart.
     fn drop_suspicions_explained_by(&mut self, parts: &[ids::PartId]) {
+        if parts.len() > 1 {
+            return;
+        }
         let crashes = self.crashes.iter();
         let explained = crashes.filter(|crash| crash.is_explained_by(parts));
         let numbers: Vec<u64> = explained.map(|crash| crash.number).collect();
