--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -91,6 +91,11 @@
         1_000.0 / (limit.per_s.clamp(MIN_PER_S, MAX_PER_S) * self.share)
     }
 
+    /// Whether no endpoint names a limit.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
     /// Returns the time from which an endpoint may get a request, ms.
     pub fn next_at(&self, live: &serving::LiveEndpoint) -> f64 {
         let state = self.states.get(&live.id);
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -487,6 +487,9 @@
     /// Returns the time from which the limits let one of the endpoints that a request may run on
     /// get it, ms.
     fn next_turn_at(&self, request: &job::PlacementRequest) -> f64 {
+        if self.rate_limits.is_empty() {
+            return f64::NEG_INFINITY;
+        }
         let endpoints = self.available(&request.service).map(|(_, state)| state);
         let usable = endpoints.filter(|state| !request.excluded.contains(&state.live.id));
         let turns = usable.map(|state| self.rate_limits.next_at(&state.live));
