--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -299,12 +299,17 @@
             return;
         }
         for change in changes {
-            let (parts, is_quarantined) = match &change {
-                crashes::QuarantineChange::Start { parts, .. } => (parts, true),
-                crashes::QuarantineChange::Release { parts } => (parts, false),
-            };
             log::warn!(target: "sardinepaddle", change:? = change; "quarantine decided");
-            let object = self.cache.borrow().quarantine_object(parts, is_quarantined);
+            let (parts, period_ms) = match &change {
+                crashes::QuarantineChange::Start {
+                    parts, doubtful, ..
+                } => match doubtful {
+                    true => (parts, Some(quarantine::DOUBTFUL_QUARANTINE_MS)),
+                    false => (parts, Some(quarantine::QUARANTINE_MS)),
+                },
+                crashes::QuarantineChange::Release { parts } => (parts, None),
+            };
+            let object = self.cache.borrow().quarantine_object(parts, period_ms);
             match object {
                 Ok(object) => self.apply(vec![object], "placer"),
                 Err(error) => log::warn!(target: "sardinepaddle", error:% = error;
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -262,20 +262,19 @@
         quarantines
     }
 
-    /// Returns the object that quarantines parts of prompts here and at other daemons, or ends
-    /// their quarantine.
+    /// Returns the object that quarantines parts of prompts for a period here and at other daemons;
+    /// `None` ends their quarantine.
     pub fn quarantine_object(
         &self,
         parts: &[ids::PartId],
-        is_quarantined: bool,
+        period_ms: Option<f64>,
     ) -> io::Result<replica::ReplicaObject> {
         let names: Vec<String> = parts.iter().map(ids::PartId::to_string).collect();
-        let content = quarantine::PartQuarantine {
+        let content = period_ms.map(|period_ms| quarantine::PartQuarantine {
             parts: parts.to_vec(),
-            until_ms: millis::since_epoch() + quarantine::QUARANTINE_MS as u64,
-        };
-        let content = is_quarantined.then_some(&content);
-        self.own_object(QUARANTINE_KIND, names.join("+"), content)
+            until_ms: millis::since_epoch() + period_ms as u64,
+        });
+        self.own_object(QUARANTINE_KIND, names.join("+"), content.as_ref())
     }
 
     /// Returns the limit that an endpoint named, unless it is that of another incarnation.
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -50,6 +50,9 @@
         parts: Vec<ids::PartId>,
         /// Endpoints that crashed on them.
         endpoints: Vec<ids::EndpointId>,
+        /// Whether a prompt with all of them was answered in the last minute, so that they may be
+        /// sound all the same.
+        doubtful: bool,
     },
     /// They no longer are.
     Release {
@@ -192,7 +195,9 @@
         if parts.is_empty() {
             return;
         }
-        if self.sound.len() >= MAX_SOUND {
+        while let Some((at, _)) = self.sound.front()
+            && (self.sound.len() >= MAX_SOUND || now - at > SOUND_MS)
+        {
             self.sound.pop_front();
         }
         self.sound.push_back((now, parts.to_vec()));
@@ -293,6 +298,12 @@
         (answers, counts)
     }
 
+    /// Whether a prompt with all of some parts is among the latest sound answers.
+    fn is_doubtful(&self, parts: &[ids::PartId]) -> bool {
+        let mut sound = self.sound.iter();
+        sound.any(|(_, prompt)| quarantine::contains_all(prompt, parts))
+    }
+
     /// Quarantines parts, and releases those for which another reason is known now.
     fn quarantine(&mut self, parts: Vec<ids::PartId>) {
         let explained = |crash: &&CrashRecord| crash.is_explained_by(&parts);
@@ -307,7 +318,10 @@
                 .filter(|crash| crash.is_explained_by(other) && !crash.is_explained_by(&parts));
             unexplained.nth(MIN_CRASHES - 1).is_none()
         };
-        let outdated = self.ambiguous.iter().filter(|other| is_outdated(other));
+        let doubtful = self.quarantined.iter();
+        let doubtful =
+            doubtful.filter(|other| self.ambiguous.contains(other) || self.is_doubtful(other));
+        let outdated = doubtful.filter(|other| is_outdated(other));
         let narrower = self.quarantined.iter();
         let narrower = narrower.filter(|other| quarantine::contains_all(other, &parts));
         let released = outdated.chain(narrower).cloned().collect();
@@ -317,8 +331,12 @@
             return;
         }
         self.quarantined.push(parts.clone());
-        self.changes
-            .push(QuarantineChange::Start { parts, endpoints });
+        let doubtful = self.is_doubtful(&parts);
+        self.changes.push(QuarantineChange::Start {
+            parts,
+            endpoints,
+            doubtful,
+        });
     }
 
     fn release(&mut self, mut released: Vec<Vec<ids::PartId>>) {
--- a/crates/pool/src/quarantine.rs
+++ b/crates/pool/src/quarantine.rs
@@ -5,6 +5,9 @@
 
 /// Time for which a quarantine holds, ms.
 pub const QUARANTINE_MS: f64 = 600_000.0;
+/// The same if the parts may be sound all the same, ms: a few times what it takes to find the other
+/// part that may be the cause.
+pub const DOUBTFUL_QUARANTINE_MS: f64 = 20_000.0;
 
 /// Parts of prompts; a prompt that has all of them is declined.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/pool/tests/crashes.rs
+++ b/crates/pool/tests/crashes.rs
@@ -86,6 +86,7 @@
             .chain([10])
             .map(|number| incarnation(number).0)
             .collect(),
+        doubtful: false,
     };
     let release = QuarantineChange::Release {
         parts: vec![part(1), part(9)],
@@ -167,6 +168,24 @@
     assert_eq!(quarantined(&mut tracker), [[part(9)]]);
 }
 
+#[test]
+fn quarantine_of_a_part_that_was_answered_lately_is_doubtful() {
+    for (is_answered, parts) in [(true, [part(9), part(10)]), (false, [part(1), part(10)])] {
+        let mut tracker = crashes::CrashTracker::default();
+        for number in 0..20 {
+            tracker.record_sound(500.0, &[part(100 + number)]);
+        }
+        tracker.record_sound(500.0, &parts);
+        let prompt: &[&[ids::PartId]] = &[&[part(9)]];
+        crash_on(&mut tracker, &[prompt; 4]);
+        let changes = tracker.take_changes();
+        let [QuarantineChange::Start { doubtful, .. }] = changes.as_slice() else {
+            panic!("{changes:?}");
+        };
+        assert_eq!(*doubtful, is_answered);
+    }
+}
+
 #[test]
 fn part_that_was_sound_before_it_crashes_endpoints_is_quarantined_in_the_end() {
     let mut tracker = crashes::CrashTracker::default();
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -189,7 +189,12 @@
             placer.tick(now + 200.0);
         }
         let changes = placer.take_quarantine_changes();
-        let [crashes::QuarantineChange::Start { parts, endpoints }] = changes.as_slice() else {
+        let [
+            crashes::QuarantineChange::Start {
+                parts, endpoints, ..
+            },
+        ] = changes.as_slice()
+        else {
             panic!("round {round}: {changes:?}");
         };
         assert!(parts.contains(&part("dead")) && !endpoints.is_empty());
