--- a/crates/daemon/tests/behind_platform/crashing_parts.rs
+++ b/crates/daemon/tests/behind_platform/crashing_parts.rs
@@ -177,6 +177,9 @@
     let second = RunningDaemon::start(&store, "h2");
     second.wait_ready();
     RunningDaemon::wait_for_followers(&[&first, &second], 1);
+    for number in 0..20 {
+        send_prompt(&second, &SHARED_PARTS, &format!("d{number:x}"));
+    }
     start_crashing(&endpoints);
     let stopped = atomic::AtomicBool::new(false);
     let mut daemons = vec![first, second];
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -31,6 +31,9 @@
 const MIN_AMBIGUOUS_CRASHES: usize = 5;
 /// Time for which a crash is remembered, ms.
 const EVIDENCE_MS: f64 = 120_000.0;
+/// Number of sound answers in the last minute that a decision needs; without them, a part that all
+/// prompts share can't be told from one that crashes endpoints.
+const MIN_SOUND: usize = 16;
 /// Number of the latest sound answers that are remembered, time for which they are, ms, and share of
 /// them from which a part is taken for sound. Such a part is in nearly every crash too.
 const MAX_SOUND: usize = 512;
@@ -268,7 +271,7 @@
             crashes.saturating_sub(sound_count(part))
         };
         let highest = parts.iter().map(count).max().unwrap_or(0);
-        if highest < MIN_CRASHES {
+        if highest < MIN_CRASHES || answers < MIN_SOUND {
             return;
         }
         parts.retain(|part| count(part) == highest);
--- a/crates/pool/tests/crashes.rs
+++ b/crates/pool/tests/crashes.rs
@@ -32,6 +32,15 @@
     started.collect()
 }
 
+/// Returns a tracker that has seen answers on prompts without a common part.
+fn tracker_with_answers() -> crashes::CrashTracker {
+    let mut tracker = crashes::CrashTracker::default();
+    for number in 0..16 {
+        tracker.record_sound(500.0, &[part(0x500 + number)]);
+    }
+    tracker
+}
+
 /// Crashes endpoint after endpoint, each with the given prompts.
 fn crash_on(tracker: &mut crashes::CrashTracker, crashes: &[&[&[ids::PartId]]]) {
     for (number, prompts) in crashes.iter().enumerate() {
@@ -51,7 +60,7 @@
 
 #[test]
 fn part_of_three_crashes_is_quarantined() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     let prompts: [&[&[ids::PartId]]; 3] = [
         &[&[part(1), part(9)], &[part(1), part(2)]],
         &[&[part(9), part(3)]],
@@ -59,14 +68,28 @@
     ];
     crash_on(&mut tracker, &prompts[..2]);
     assert!(quarantined(&mut tracker).is_empty());
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     crash_on(&mut tracker, &prompts);
     assert_eq!(quarantined(&mut tracker), [[part(9)]]);
 }
 
 #[test]
-fn parts_that_always_come_together_are_quarantined_together_until_one_crashes_alone() {
+fn nothing_is_quarantined_without_answers_to_compare_with() {
     let mut tracker = crashes::CrashTracker::default();
+    let prompt: &[&[ids::PartId]] = &[&[part(1)]];
+    crash_on(&mut tracker, &[prompt; 10]);
+    assert!(tracker.take_changes().is_empty());
+    for number in 0..16 {
+        tracker.record_sound(20_000.0, &[part(0x500 + number)]);
+    }
+    tracker.record_break(20_000.0, &incarnation(10), 19_900.0, None, &[part(1)]);
+    tracker.tick(20_500.0, map::HashSet::default);
+    assert_eq!(quarantined(&mut tracker), [[part(1)]]);
+}
+
+#[test]
+fn parts_that_always_come_together_are_quarantined_together_until_one_crashes_alone() {
+    let mut tracker = tracker_with_answers();
     let prompt: &[&[ids::PartId]] = &[&[part(1), part(9)]];
     crash_on(&mut tracker, &[prompt; 3]);
     assert_eq!(quarantined(&mut tracker), [[part(1), part(9)]]);
@@ -96,7 +119,7 @@
 
 #[test]
 fn answer_on_a_prompt_with_all_quarantined_parts_ends_their_quarantine() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     let prompt: &[&[ids::PartId]] = &[&[part(1), part(9)]];
     crash_on(&mut tracker, &[prompt; 3]);
     assert_eq!(quarantined(&mut tracker), [[part(1), part(9)]]);
@@ -109,7 +132,7 @@
 
 #[test]
 fn part_that_is_answered_as_often_as_it_is_in_crashes_is_not_quarantined() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..20 {
         let now = 1_000.0 * (number as f64 + 1.0);
         let endpoint = incarnation(number);
@@ -122,7 +145,7 @@
 
 #[test]
 fn endpoints_that_end_at_the_same_moment_are_one_crash() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..16 {
         let now = 1_000.0 + number as f64;
         tracker.record_break(now, &incarnation(number), 900.0, None, &[part(1)]);
@@ -133,7 +156,7 @@
 
 #[test]
 fn endpoint_that_only_loses_connections_does_not_count() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..10 {
         let now = 1_000.0 * (number as f64 + 1.0);
         let endpoint = incarnation(number);
@@ -146,7 +169,7 @@
 
 #[test]
 fn part_on_which_answers_are_being_written_is_not_quarantined() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..10 {
         let now = 1_000.0 * (number as f64 + 1.0);
         tracker.record_break(now, &incarnation(number), now - 100.0, None, &[part(1)]);
@@ -157,12 +180,12 @@
 
 #[test]
 fn quarantine_of_a_sound_part_ends_once_another_one_explains_its_crashes() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     // Two prompts travel together from crash to crash, so that either may be the cause.
     let both: &[&[ids::PartId]] = &[&[part(1)], &[part(9)]];
     crash_on(&mut tracker, &[both; 5]);
     assert_eq!(quarantined(&mut tracker), [[part(1)], [part(9)]]);
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     let second: &[&[ids::PartId]] = &[&[part(9)]];
     crash_on(&mut tracker, &[both, both, both, second]);
     assert_eq!(quarantined(&mut tracker), [[part(9)]]);
@@ -171,7 +194,7 @@
 #[test]
 fn quarantine_of_a_part_that_was_answered_lately_is_doubtful() {
     for (is_answered, parts) in [(true, [part(9), part(10)]), (false, [part(1), part(10)])] {
-        let mut tracker = crashes::CrashTracker::default();
+        let mut tracker = tracker_with_answers();
         for number in 0..20 {
             tracker.record_sound(500.0, &[part(100 + number)]);
         }
@@ -188,7 +211,7 @@
 
 #[test]
 fn part_that_was_sound_before_it_crashes_endpoints_is_quarantined_in_the_end() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..400 {
         tracker.record_sound(100.0, &[part(1), part(10 + number % 40)]);
     }
@@ -203,7 +226,7 @@
 
 #[test]
 fn memory_is_bounded() {
-    let mut tracker = crashes::CrashTracker::default();
+    let mut tracker = tracker_with_answers();
     for number in 0..300 {
         let now = 100.0 * number as f64;
         for prompt in 0..100 {
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -182,6 +182,12 @@
     let mut placer = placer_with_engines(4, 26.0);
     let mut now = NOW;
     for round in 0..2 {
+        for number in 0..16 {
+            let (id, name) = (job_id(2_000 + 100 * round + number), format!("{number}"));
+            placer.submit(now, id, prompt_with_parts(5_000, &[&name]));
+            plan_of(&mut placer, id);
+            placer.end(now, id, &health::HealthSignal::Success.into());
+        }
         for number in 1..=3 {
             assert!(placer.take_quarantine_changes().is_empty());
             now = crash_engine(&mut placer, 10 * round + number, now + 1_000.0);
