--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -33,7 +33,7 @@
 const EVIDENCE_MS: f64 = 120_000.0;
 /// Number of sound answers in the last minute that a decision needs; without them, a part that all
 /// prompts share can't be told from one that crashes endpoints.
-const MIN_SOUND: usize = 16;
+const MIN_SOUND: usize = 4;
 /// Number of the latest sound answers that are remembered, time for which they are, ms, and share of
 /// them from which a part is taken for sound. Such a part is in nearly every crash too.
 const MAX_SOUND: usize = 512;
