Keep the configuration in force as a base of differences

The object in force is a base in any case now. The test failed before: the connection was closed for the missing base.

--- a/crates/daemon/tests/behind_platform/store_return.rs
+++ b/crates/daemon/tests/behind_platform/store_return.rs
@@ -266,3 +266,49 @@
     assert_eq!(daemon.log().matches("registered in").count(), 1);
     assert!(store.spec(DAEMON_KIND, "h1").is_some());
 }
+
+/// Returns a configuration that daemons send to each other as a difference.
+fn large_config(version: u64, last_route: &str) -> Value {
+    let names: Vec<String> = (0..40).map(|number| format!("route-{number}")).collect();
+    let mut names: Vec<&str> = names.iter().map(String::as_str).collect();
+    names.push(last_route);
+    config(version, &routes_with(&names))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_reaches_a_daemon_that_has_seen_older_ones_since_its_own() {
+    let store = FakeObjectStore::start().await;
+    store.put("config", "main", large_config(10, "old"));
+    support::start_endpoints(&store, &[EndpointScript::Respond]).await;
+    let mut links = Vec::new();
+    for _ in 0..2 {
+        let link = proxy::FaultProxy::start(fleet::free_address(), store.address()).await;
+        links.push(link.unwrap());
+    }
+    let daemons = [0, 1].map(|index| {
+        let host = format!("h{index}");
+        RunningDaemon::start_with_store(links[index].address(), &host)
+    });
+    for daemon in &daemons {
+        daemon.wait_ready();
+    }
+    RunningDaemon::wait_for_followers(&daemons.each_ref(), 1);
+    // One daemon alone sees older versions, more than it keeps as bases of differences.
+    links[0].control().set(proxy::LinkFault::Cut);
+    for version in 1..=6 {
+        store.put("config", "main", large_config(version, "older"));
+        std::thread::sleep(SETTLE_TIME);
+    }
+    RunningDaemon::wait_for("the older versions", || {
+        daemons[1].log().matches("object ignored").count() >= 5
+    });
+    links[1].control().set(proxy::LinkFault::Cut);
+    store.put("config", "main", large_config(11, "new"));
+    // The other daemon lists the newest version only.
+    store.compact();
+    links[0].control().set(proxy::LinkFault::None);
+    for daemon in &daemons {
+        RunningDaemon::wait_for("the new configuration", || is_served(daemon, "new"));
+    }
+    assert!(!daemons[1].log().contains("base revision is not available"));
+}
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -231,7 +231,13 @@
                     era: object.era,
                     revision,
                 };
-                let content = self.history.content(object.kind, &object.name, base);
+                // Outdated revisions may have displaced the one in force from the history.
+                let current = self.replica.object(object.kind, &object.name);
+                let current = current.filter(|current| current.stamp() == base);
+                let content = match current.and_then(|current| current.spec.as_ref()) {
+                    Some(content) => Some(content),
+                    None => self.history.content(object.kind, &object.name, base),
+                };
                 let missing = || io::Error::other("the base revision is not available");
                 Some(content.ok_or_else(missing)?)
             }
