Defer removals after an outage that only the configuration's calls met

What callers saw: when the store came back, requests were refused with no_endpoint although their endpoints were alive and wrote their entries again within two seconds.

Cause: each watcher of the store notes an outage by its own failed call only. While the configuration is unreachable the other kinds make no call. A watcher that paused at that moment, after a change, had none in progress either, so it never learned of the outage and applied the removals of expired entries at once.

Why this works: a watcher that stands aside for the configuration now counts the store as unreachable, so its next successful call starts the time in which removals are deferred.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -273,6 +273,28 @@
     assert!(metrics.body.contains("reason=\"no_endpoint\""));
 }
 
+// Guards against removing endpoints at once after an outage that only the configuration's calls met.
+#[tokio::test(flavor = "multi_thread")]
+async fn removal_is_deferred_though_endpoints_were_not_watched_during_the_outage() {
+    let (store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
+    std::thread::sleep(Duration::from_millis(700));
+    // After a change the watch pauses, so its next call would fall into the outage.
+    store.put("servers", "e1", endpoints[0].entry("s", "ready"));
+    RunningDaemon::wait_for("the change", || {
+        daemon.log().matches("endpoint listed").count() == 2
+    });
+    store.set_mode(StoreMode::Busy);
+    std::thread::sleep(Duration::from_millis(1_500));
+    store.remove("servers", "e0");
+    store.remove("servers", "e1");
+    store.set_mode(StoreMode::Up);
+    RunningDaemon::wait_for("the removals", || {
+        let log = daemon.log();
+        log.matches("removal deferred").count() + log.matches("endpoint removed").count() >= 2
+    });
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "r1").status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn draining_endpoints_and_evacuated_data_centres_get_no_requests() {
     let (store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -196,6 +196,12 @@
                 time::sleep(IDLE_CHECK_PERIOD).await;
                 continue;
             }
+            if self.waits_for_config() {
+                // Entries may expire in this outage, although no call about them fails.
+                self.unreachable = true;
+                time::sleep(IDLE_CHECK_PERIOD).await;
+                continue;
+            }
             match self.poll().await {
                 Ok(changed) => {
                     backoff = min_backoff;
@@ -251,11 +257,13 @@
             && state.now() < DAEMONS_WAIT_MS
             && state.rank.borrow().daemons().is_empty();
         let watches = state.watches_store() && !awaits_daemons;
-        // During an outage only the configuration is polled; the other kinds wait until that
-        // succeeds.
-        let waits_for_config =
-            self.kind != catalog::ObjectKind::Config && state.is_config_unreachable();
-        (watches || stale && !awaits_confirmation) && !waits_for_config
+        watches || stale && !awaits_confirmation
+    }
+
+    /// Whether the store is unreachable and this kind waits until it serves the configuration, the
+    /// only kind that is polled during an outage.
+    fn waits_for_config(&self) -> bool {
+        self.kind != catalog::ObjectKind::Config && self.state.is_config_unreachable()
     }
 
     /// Makes one call to the store. Returns whether it reported changes.
