Agree on one placer when two daemons select each other at once

What callers saw: for up to some seconds after a start, daemons changed their placer again and again; each change loses the predictions of the running requests, and two placers decide with half of them in view.

Cause: a daemon that is told that its placer follows it selected itself at once. The other daemon did the same, both contacted each other again, and so on. Second, a follower that was added while its placer was still sending its objects to the next placer was told by nobody.

Why this works: the daemon that announces the change counts as a part of the circle, so both sides choose the same first one by rank, the one that is ready. Followers are told in the same step in which the placer's location changes, so each one is either told then, or as it is added.

--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -199,6 +199,70 @@
     assert!(selected.is_none_or(|host| host == "h1"));
 }
 
+/// Serves as a placer that follows the host `placer` as soon as a daemon has become its follower.
+async fn start_placer_that_moves_to(host: &'static str, placer: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hello = PlacementMessage::Hello {
+        host: ids::HostId::new(host),
+        incarnation: 1,
+        status: message::PlacerStatus::Ready,
+        placer: Some(ids::HostId::new(host)),
+    };
+    let heartbeat = PlacementMessage::Heartbeat {
+        ages_ms: vec![0; 4],
+        store_reachable: true,
+        status: message::PlacerStatus::Ready,
+        watch_store: true,
+    };
+    let moved = PlacementMessage::PlacerChanged {
+        placer: ids::HostId::new(placer),
+    };
+    let [hello, heartbeat, moved] =
+        [hello, heartbeat, moved].map(|message| message::encode(&message, 0).unwrap());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (hello, heartbeat, moved) = (hello.clone(), heartbeat.clone(), moved.clone());
+            tokio::spawn(async move {
+                let mut framed = message::frame_codec().framed(stream);
+                let mut sent = framed.send(hello).await;
+                let mut received = 0;
+                while sent.is_ok() && framed.next().await.is_some() {
+                    received += 1;
+                    sent = framed.send(heartbeat.clone()).await;
+                    // The first message is the hello of the daemon, the second one that of a follower.
+                    if received == 2 && sent.is_ok() {
+                        sent = framed.send(moved.clone()).await;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against two daemons that select each other at the same moment: each told the other "placer
+// changed", both left the other again, and so on.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_stays_with_a_placer_of_a_larger_host_that_selected_it_in_turn() {
+    let store = FakeObjectStore::start().await;
+    store.put(
+        "config",
+        "main",
+        support::config(1, &support::default_routes()),
+    );
+    let address = start_placer_that_moves_to("fake", "h1").await;
+    let entry = json!({"host": "fake", "centre": "a", "address": address.to_string(),
+        "cpu_millis": 4_000});
+    store.put("sardinepaddle-daemons", "fake", entry);
+    let daemon = RunningDaemon::start(&store, "h1");
+    daemon.wait_ready();
+    RunningDaemon::wait_for("the placer", || placer(&daemon, 0).is_some());
+    std::thread::sleep(TAKEOVER_WINDOW);
+    assert_eq!(placer(&daemon, 0).as_deref(), Some("fake"));
+    assert_eq!(selection_count(&daemon), 1);
+}
+
 // Guards against four watches by each daemon that starts: its first lists may be outdated, and the
 // placer confirms them within a second.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -355,6 +355,8 @@
                 host: host.clone(),
                 sender,
             });
+        // Followers that are added from now on are redirected as they are added.
+        self.state.redirect_followers(host);
         let mut heartbeats = time::interval(HEARTBEAT_PERIOD);
         loop {
             tokio::select! {
@@ -422,7 +424,7 @@
     loop {
         let selection = match (&placer_connection, state.take_announced_placer()) {
             (Some(current), Some(placer)) if current.host != placer => {
-                select_named_placer(&state, placer).await
+                select_named_placer(&state, &current.host, placer).await
             }
             (Some(current), _) if !current.draining.get() => PlacerSelection::Unchanged,
             (None, _) if state.places_for_others() && state.is_ready() => {
@@ -449,7 +451,6 @@
                     host.clone(),
                     draining.clone(),
                 ));
-                state.redirect_followers(&host);
                 placer_connection = Some(PlacerConnection {
                     host,
                     draining,
@@ -505,20 +506,21 @@
     daemon.map(|daemon| daemon.address)
 }
 
-/// Selects the placer that another daemon named, or the one that this placer follows by now. If the
-/// daemons follow each other in a circle, the one that is ranked first is selected.
+/// Selects the placer that the daemon `source` named, or the one that this placer follows by now. If
+/// the daemons follow each other in a circle, the first in rank order that is ready is selected.
 async fn select_named_placer(
     state: &rc::Rc<state::DaemonState>,
+    source: &ids::HostId,
     named: ids::HostId,
 ) -> PlacerSelection {
     let own_host = state.settings().host.clone();
-    let mut followed = Vec::new();
+    let mut followed = vec![source.clone()];
     let mut selected = None;
     let mut next = named;
-    while followed.len() < MAX_FOLLOWED {
+    while followed.len() <= MAX_FOLLOWED {
         if next == own_host || followed.contains(&next) {
             followed.push(next);
-            return select_in_circle(state, &followed).await;
+            return select_in_circle(state, followed).await;
         }
         let Some((connection, hello)) = contact_ready(state, &next).await else {
             break;
@@ -537,28 +539,29 @@
     }
 }
 
-/// Selects the daemon that is ranked first of those that follow each other in a circle.
+/// Selects the first daemon in rank order that is ready, of those that follow each other in a circle.
 async fn select_in_circle(
     state: &rc::Rc<state::DaemonState>,
-    followed: &[ids::HostId],
+    mut followed: Vec<ids::HostId>,
 ) -> PlacerSelection {
-    let first = state.rank.borrow().first_of(followed).cloned();
-    let Some(first) = first else {
-        return PlacerSelection::Unchanged;
-    };
-    if followed.len() > 1 {
+    loop {
+        let first = state.rank.borrow().first_of(&followed).cloned();
+        let Some(first) = first else {
+            return PlacerSelection::Unchanged;
+        };
         log::info!(target: "sardinepaddle", placer:% = first, daemons = followed.len();
             "daemons follow each other: selecting the one ranked first");
-    }
-    if first == state.settings().host {
-        return match state.is_ready() {
-            true => PlacerSelection::Local,
-            false => PlacerSelection::Unchanged,
-        };
-    }
-    match contact_ready(state, &first).await {
-        Some((connection, hello)) => PlacerSelection::Remote(Box::new(connection), hello.host),
-        None => PlacerSelection::Unchanged,
+        if first == state.settings().host {
+            if state.is_ready() {
+                return PlacerSelection::Local;
+            }
+        } else if let Some((connection, hello)) = contact_ready(state, &first).await {
+            return match state.remote_placer_host() == Some(first) {
+                true => PlacerSelection::Unchanged,
+                false => PlacerSelection::Remote(Box::new(connection), hello.host),
+            };
+        }
+        followed.retain(|host| *host != first);
     }
 }
 
@@ -633,7 +636,7 @@
             .filter(|placer| **placer != hello.host)
             .cloned();
         if let Some(placer) = named_placer {
-            let selection = select_named_placer(state, placer).await;
+            let selection = select_named_placer(state, &hello.host, placer).await;
             if !matches!(selection, PlacerSelection::Unchanged) {
                 return selection;
             }
