Proxy: reset a connection that lost bytes

The soak's own fault: two faults overlapped on one link, and the end of Freeze ended DropAnswers, whose end alone closed the connections. Those went on after a gap, which TCP never does.

The proxy itself now resets a connection that has lost bytes, at the end of the fault, at its own end, or whenever it is closed, so that the receiver sees an error and never an early end.

--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -33,7 +33,8 @@
     Blackhole,
     /// Bytes are held back for so many milliseconds.
     Delay(u64),
-    /// Requests pass and answers are dropped.
+    /// Requests pass and answers are dropped. A connection that lost bytes is reset at the end of the
+    /// fault, or as it ends: TCP never continues a connection after a gap.
     DropAnswers,
 }
 
@@ -166,21 +167,26 @@
     }
 }
 
+/// Some bytes of a connection were dropped, so it can't go on.
+struct BytesLost;
+
+type Result<T> = std::result::Result<T, BytesLost>;
+
 async fn link(
-    inbound: tokio::net::TcpStream,
+    mut inbound: tokio::net::TcpStream,
     target: net::SocketAddr,
     number: u64,
     control: ProxyControl,
 ) {
     let state = control.state.subscribe();
-    let Ok(outbound) = tokio::net::TcpStream::connect(target).await else {
+    let Ok(mut outbound) = tokio::net::TcpStream::connect(target).await else {
         return;
     };
     // Only latency suffers if the options cannot be set.
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
-    let (caller_read, caller_write) = inbound.into_split();
-    let (target_read, target_write) = outbound.into_split();
+    let (caller_read, caller_write) = inbound.split();
+    let (target_read, target_write) = outbound.split();
     let mut cut = state.clone();
     let requests = pump(
         caller_read,
@@ -203,7 +209,7 @@
         },
     );
     tokio::select! {
-        _ = async { tokio::join!(requests, answers) } => {}
+        _ = async { tokio::try_join!(requests, answers) } => {}
         _ = cut.wait_for(|state| state.fault == LinkFault::Cut) => {}
     }
 }
@@ -230,6 +236,15 @@
         state.fault == LinkFault::Blackhole || self.number <= state.frozen_to
     }
 
+    /// Waits until bytes are no longer dropped.
+    async fn passes_answers(&mut self) {
+        // An error means that the proxy is gone.
+        let _ = self
+            .state
+            .wait_for(|state| state.fault != LinkFault::DropAnswers)
+            .await;
+    }
+
     /// Waits while the connection is silent; a frozen one stays so for good.
     async fn hold(&mut self) {
         while self.is_silent() {
@@ -240,29 +255,44 @@
     }
 }
 
-async fn pump(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, mut pump: PumpState) {
+async fn pump(
+    mut from: tcp::ReadHalf<'_>,
+    mut to: tcp::WriteHalf<'_>,
+    mut pump: PumpState,
+) -> Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
+    let mut has_lost = false;
     loop {
-        let Ok(count) = from.read(&mut buffer).await else {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            () = pump.passes_answers(), if has_lost => return Err(BytesLost),
+        };
+        let Ok(count) = read else {
             pump.hold().await;
-            return;
+            return Ok(());
         };
         pump.hold().await;
-        if count == 0 {
+        if count == 0 && !has_lost {
             // The other direction may still have bytes to move.
             let _ = to.shutdown().await;
-            return;
+            return Ok(());
         }
         pump.count(count);
         let fault = pump.state.borrow().fault;
         match fault {
+            LinkFault::DropAnswers if pump.answers && count > 0 => {
+                has_lost = true;
+                // The receiver sees an error, not the end, whatever closes the connection.
+                let _ = to.as_ref().set_zero_linger();
+                continue;
+            }
+            _ if has_lost => return Err(BytesLost),
             LinkFault::Delay(millis) => time::sleep(Duration::from_millis(millis)).await,
-            LinkFault::DropAnswers if pump.answers => continue,
             _ => {}
         }
         pump.hold().await;
         if to.write_all(&buffer[..count]).await.is_err() {
-            return;
+            return Ok(());
         }
     }
 }
