Divide the rate of cold endpoints among all placers

Cause: each placer used 0.7 of the rate of a cold endpoint, however many placed at the same time: two while the role moves, and all daemons while none follows another one, as after a restart without the store.

Why this works: a placer uses the part of the rate that its group has of all listed daemons. A daemon counts for one group at a time: a follower that is silent for 0.8 s no longer counts, before it selects another placer after one second. Three shares, for settled groups (0.55), for daemons that joined within the last second (0.2), and for those that place alone (0.2), add up to less than the whole. Below one request a second the turns of the endpoints are spread by a hash of the placer, and none is due at once.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -330,6 +330,7 @@
         host: &ids::HostId,
         message: PlacementMessage,
     ) -> Result<()> {
+        self.state.record_follower_message(incarnation);
         let PlacementMessage::Heartbeat {
             store_reachable, ..
         } = message
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use pool::rank;
 use pool::replica;
 use pool::routes;
+use pool::shares;
 use settings::gateway;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -51,6 +52,12 @@
 const SHARED_LIMIT_FRACTION: f64 = 0.75;
 const SOLO_LIMIT_FRACTION: f64 = 0.5;
 
+/// Time without a message after which a follower no longer counts for the shares, ms. With the
+/// interval of updates, less than the time after which it selects another placer.
+const FOLLOWER_SILENCE_MS: f64 = 800.0;
+/// Interval at which the shares are updated, ms.
+const SHARE_UPDATE_MS: f64 = 100.0;
+
 /// The placer of this daemon's requests.
 #[derive(Clone, Debug)]
 pub(crate) enum PlacerLocation {
@@ -103,6 +110,8 @@
     shutdown_started_at: cell::Cell<Option<f64>>,
     /// Object kinds for which the last call to the store failed.
     unreachable_kinds: cell::RefCell<[bool; store_cache::KIND_COUNT]>,
+    group_history: cell::RefCell<shares::GroupHistory>,
+    shares_updated_at: cell::Cell<f64>,
     /// Connected followers and whether each reaches the store.
     follower_reachability: cell::RefCell<map::HashMap<ids::HostId, bool>>,
     /// Whether the placer selected this daemon to watch the store on behalf of others.
@@ -142,6 +151,8 @@
             pending: cell::RefCell::default(),
             running: cell::RefCell::default(),
             followers: cell::RefCell::default(),
+            group_history: cell::RefCell::default(),
+            shares_updated_at: cell::Cell::new(f64::NEG_INFINITY),
             changes: watch::Sender::new(0),
             era_changes: watch::Sender::new(0),
             quiet_periods: cell::RefCell::default(),
@@ -669,6 +680,9 @@
     /// Decides on the requests that wait at the local placer, and places locally those to which the
     /// remote placer has not responded in time.
     pub fn tick(&self) {
+        if self.now() - self.shares_updated_at.get() > SHARE_UPDATE_MS {
+            self.update_shares();
+        }
         let needs_tick = self.placer.borrow().needs_tick();
         if needs_tick {
             self.placer.borrow_mut().tick(self.now());
@@ -830,6 +844,12 @@
         }
     }
 
+    /// Records that a message of a follower has arrived.
+    pub fn record_follower_message(&self, incarnation: u64) {
+        let mut followers = self.followers.borrow_mut();
+        followers.record_message(incarnation, self.now());
+    }
+
     /// Adds a connected daemon whose requests are placed here.
     pub fn add_follower(
         &self,
@@ -853,9 +873,21 @@
         } else {
             SHARED_LIMIT_FRACTION
         };
+        let now = self.now();
+        let listed = self.rank.borrow().daemons().len();
+        let heard = self
+            .followers
+            .borrow()
+            .heard_since(now - FOLLOWER_SILENCE_MS);
+        let cold_share = self
+            .group_history
+            .borrow_mut()
+            .update(now, heard + 1, listed);
         let mut placer = self.placer.borrow_mut();
         placer.set_retry_share(share);
         placer.set_limit_share(limit_share);
+        placer.set_cold_share(now, cold_share, self.incarnation);
+        self.shares_updated_at.set(now);
     }
 
     /// Removes a follower whose connection has closed.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod rank;
 pub mod replica;
 pub mod routes;
+pub mod shares;
 pub mod slowdown;
 pub mod value;
 
+mod cold;
 mod members;
 mod prompt_search;
 mod risk;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -13,6 +13,7 @@
 use model::serving;
 
 use crate::budget;
+use crate::cold;
 use crate::crashes;
 use crate::engine;
 use crate::health;
@@ -40,9 +41,6 @@
 /// Share of the objective over which that required gain falls to zero: engines take only a few
 /// passes to finish their backlog.
 const SELECTIVITY_DECAY_SHARE: f64 = 0.15;
-/// Share of the rate limit of a cold endpoint that is used, as the time from a placement to its
-/// arrival differs between daemons.
-const COLD_RATE_SHARE: f64 = 0.7;
 /// Waiting requests evaluated in one tick at most: evaluating all of them in every tick would take
 /// the time needed to place them.
 const MAX_EVALUATED_PER_TICK: usize = 64;
@@ -60,7 +58,7 @@
 /// Retry budget and rate limit of cold endpoints, from the settings of the deployment.
 ///
 /// A cold endpoint is one that can serve only [`serving::ServiceProfile::cold_rate`] requests per
-/// second. The placer has no data on which endpoints are cold, so it applies a share of their
+/// second. The placer has no data on which endpoints are cold, so it applies its share of their
 /// limit, `cold_factor * cold_rate + cold_extra` requests per second, to all endpoints of a service
 /// that has a cold rate.
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +87,7 @@
     retry_budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
     call_means_ms: map::HashMap<ids::ServiceId, f64>,
     retry_share: f64,
+    cold_rate: cold::ColdRate,
     rate_limits: limits::RateLimits,
     crash_tracker: crashes::CrashTracker,
     quarantines: quarantine::QuarantineList,
@@ -108,6 +107,7 @@
             retry_budgets: map::HashMap::default(),
             call_means_ms: map::HashMap::default(),
             retry_share: 1.0,
+            cold_rate: cold::ColdRate::default(),
             rate_limits: limits::RateLimits::default(),
             crash_tracker: crashes::CrashTracker::default(),
             quarantines: quarantine::QuarantineList::default(),
@@ -120,6 +120,12 @@
         self.retry_share = share;
     }
 
+    /// Sets the share of the rate of cold endpoints that this placer may use, see
+    /// [`crate::shares::GroupHistory`], and a seed that differs between placers.
+    pub fn set_cold_share(&mut self, now: f64, share: f64, seed: u64) {
+        self.cold_rate.set_share(now, share, seed);
+    }
+
     /// Sets the share of the limits that endpoints name that this placer may use.
     pub fn set_limit_share(&mut self, share: f64) {
         self.rate_limits.set_share(share);
@@ -574,7 +580,7 @@
         let request = &waiting.request;
         let profile = self.services.get(&request.service);
         let engine = profile.and_then(|profile| profile.engine.as_ref());
-        let rate_limit = profile.map_or(f64::MAX, |profile| self.send_rate_limit(profile));
+        let cold_limit = profile.and_then(|profile| self.cold_limit(profile));
         let available: Vec<&state::EndpointState> = self
             .available(&request.service)
             .map(|(_, state)| state)
@@ -588,7 +594,7 @@
             .filter(|state| !request.excluded.contains(&state.live.id))
             .filter(|state| !state.health.is_backed_off(now))
             .filter(|state| self.rate_limits.accepts(now, &state.live))
-            .filter(|state| state.sends_since(now - 1_000.0) + 1.0 <= rate_limit)
+            .filter(|state| cold_limit.is_none_or(|limit| self.is_within(now, state, limit)))
             .collect();
         match (request.kind, engine) {
             (job::JobKind::Prompt { tokens, .. }, Some(engine)) => {
@@ -606,14 +612,17 @@
         }
     }
 
-    /// Returns the requests per second that one endpoint may get. The limit of a cold endpoint
-    /// applies even while the endpoint isn't known to be cold.
-    fn send_rate_limit(&self, profile: &serving::ServiceProfile) -> f64 {
-        if profile.cold_rate <= 0.0 {
-            return f64::MAX;
-        }
+    /// Returns the requests per second that a cold endpoint may get from all placers, if endpoints
+    /// are ever cold. The limit applies even while the endpoint isn't known to be cold.
+    fn cold_limit(&self, profile: &serving::ServiceProfile) -> Option<f64> {
         let cold_limit = profile.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
-        (cold_limit * COLD_RATE_SHARE).max(1.0)
+        (profile.cold_rate > 0.0).then_some(cold_limit)
+    }
+
+    fn is_within(&self, now: f64, state: &state::EndpointState, cold_limit: f64) -> bool {
+        let sent_at = state.send_times.iter().rev().copied();
+        self.cold_rate
+            .accepts(now, &state.live.id, cold_limit, sent_at)
     }
 
     fn best_call_plan(
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -44,7 +44,7 @@
     /// Gap objectives of the requests that it generates for, ms; zero for those that have none.
     gap_objectives: Vec<(job::JobId, f64)>,
     pub health: health::EndpointHealth,
-    /// Times of the requests sent to it within the last second.
+    /// Times of the requests sent to it: of the last one, and of those in the second before it.
     pub send_times: collections::VecDeque<f64>,
 }
 
@@ -154,12 +154,6 @@
         gaps.fold(f64::MAX, f64::min)
     }
 
-    /// Returns the number of requests sent to it after `since`.
-    pub fn sends_since(&self, since: f64) -> f64 {
-        let recent = self.send_times.iter().rev().take_while(|at| **at > since);
-        recent.count() as f64
-    }
-
     /// Returns the tokens of memory that can still be allocated.
     pub fn free_memory(&self, profile: &serving::EngineProfile) -> u64 {
         allocatable_memory(profile).saturating_sub(self.used_memory)
