--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -875,14 +875,13 @@
         };
         let now = self.now();
         let listed = self.rank.borrow().daemons().len();
-        let heard = self
-            .followers
-            .borrow()
-            .heard_since(now - FOLLOWER_SILENCE_MS);
-        let cold_share = self
-            .group_history
-            .borrow_mut()
-            .update(now, heard + 1, listed);
+        let followers = self.followers.borrow();
+        let members = match &*self.placer_location.borrow() {
+            PlacerLocation::Local => followers.heard_since(now - FOLLOWER_SILENCE_MS) + 1,
+            PlacerLocation::Remote { .. } => 0,
+        };
+        let mut history = self.group_history.borrow_mut();
+        let cold_share = history.update(now, members, listed);
         let mut placer = self.placer.borrow_mut();
         placer.set_retry_share(share);
         placer.set_limit_share(limit_share);
--- a/crates/pool/src/shares.rs
+++ b/crates/pool/src/shares.rs
@@ -1,22 +1,21 @@
 //! Share of a rate limit that one placer may use, so that any number of placers at the same time
 //! stay within the limit together.
 //!
-//! Each daemon counts for one placer: the one that it follows, or itself. A placer uses the part of
-//! the limit that its group has of all listed daemons. Its group is itself and the followers from
-//! which it has heard lately; it stops counting a silent follower before that one selects another
-//! placer.
+//! Each daemon counts for one placer: the one that it follows, or itself. The group of a placer is
+//! itself and the followers from which it has heard lately; it stops counting a silent follower
+//! before that one selects another placer.
 
 use std::collections;
 
-/// Share of the limit for placers whose groups have not grown lately. The three shares leave a rest,
-/// as the time from a placement to its arrival differs between daemons.
-pub const SETTLED_SHARE: f64 = 0.55;
+/// Share of which settled groups use a part by their size. The three shares leave a rest, as the time
+/// from a placement to its arrival differs between daemons.
+pub const SETTLED_SHARE: f64 = 0.45;
 /// Share for daemons that joined a group within the last second: what the previous placer sent for
 /// them still counts.
-const JOINED_SHARE: f64 = 0.2;
-/// Share for daemons that place only their own requests: without a placer, or because theirs was
-/// late to decide.
-const ALONE_SHARE: f64 = 0.2;
+const JOINED_SHARE: f64 = 0.35;
+/// Share of which each daemon uses a part for its own requests, on which its placer is late to
+/// decide.
+const REROUTED_SHARE: f64 = 0.15;
 /// Time after which a daemon counts as settled in a group, ms: the span of the limits.
 const SETTLE_MS: f64 = 1_000.0;
 /// Assumed number of daemons while their list is not known.
@@ -30,16 +29,17 @@
 }
 
 impl GroupHistory {
-    /// Records the size of the group, the placer included, and returns its share of the limits that
-    /// all listed daemons share. `daemons` is zero if there is no list.
+    /// Records the size of the group and returns its share of the limits that all listed daemons
+    /// share. The size includes the placer; it is zero for a daemon that follows another one.
+    /// `daemons` is zero if there is no list.
     ///
     /// ```
     /// use sardinepaddle_pool::shares;
     /// let mut history = shares::GroupHistory::default();
-    /// let alone = history.update(0.0, 1, 10);
+    /// let following = history.update(0.0, 0, 10);
     /// let joined = history.update(100.0, 10, 10);
     /// let settled = history.update(1_200.0, 10, 10);
-    /// assert!(alone < joined && joined < settled && settled < 1.0);
+    /// assert!(following < joined && joined < settled && settled < 1.0);
     /// ```
     pub fn update(&mut self, now: f64, members: usize, daemons: usize) -> f64 {
         if self.sizes.back().is_none_or(|(_, size)| *size != members) {
@@ -54,11 +54,9 @@
         let daemons = match daemons {
             0 => UNKNOWN_DAEMONS,
             daemons => daemons.max(members),
-        };
-        let settled_share = match settled {
-            1 if daemons > 1 => ALONE_SHARE,
-            settled => SETTLED_SHARE * settled as f64,
-        };
-        (settled_share + JOINED_SHARE * (members - settled) as f64) / daemons as f64
+        } as f64;
+        let joined = members - settled;
+        let shares = SETTLED_SHARE * settled as f64 + JOINED_SHARE * joined as f64 + REROUTED_SHARE;
+        shares / daemons
     }
 }
