Release memory beside an endpoint that doesn't respond

Cause: an attempt whose endpoint is silent is kept while others are tried, with its reserved memory, up to the prompt's deadline.

Why this works: attempts that hold memory and may be repeated wait for eight seconds, or twice the predicted time, and then end with their reservation. Prompts that may not be repeated go on waiting: silence is no reason to end them.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -5,6 +5,7 @@
 mod placer_selection;
 mod rate_limits;
 mod raw_responses;
+mod reservations;
 mod store_return;
 mod support;
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -36,6 +36,12 @@
 /// Multiples of the latency objective and of the gap objective for which clients wait at least; set
 /// by the users' protocol.
 const ABANDON_FACTORS: (f64, f64) = (4.0, 8.0);
+/// Time from its placement for which an attempt that may be repeated waits for a response while it
+/// holds reserved memory, ms, unless more than half of that was predicted. The memory may be unused
+/// all the while.
+const MAX_UNUSED_MEMORY_MS: f64 = 8_000.0;
+/// Multiple of the predicted time for which such an attempt waits at least.
+const UNUSED_MEMORY_FACTOR: f64 = 2.0;
 /// Fraction of the remaining time given to a plain call before another endpoint is tried.
 const CALL_TIMEOUT_FRACTION: f64 = 0.45;
 /// `Retry-After` when endpoints refused the request, ms.
@@ -355,8 +361,9 @@
             (Ok(sent), stalled) => self.await_first(sent, stalled).await,
             // No other endpoint is available: keep waiting for the stalled one.
             (Err(error), Some(stalled)) if error.declined.is_some() => {
-                let remaining_ms = self.request.remaining_ms();
-                self.await_stalled(stalled, remaining_ms).await
+                let timeout_ms = stalled.patience_ms(self.request.state.now());
+                let timeout_ms = timeout_ms.min(self.request.remaining_ms());
+                self.await_stalled(stalled, timeout_ms).await
             }
             (Err(error), stalled) => {
                 self.stalled = stalled;
@@ -373,12 +380,22 @@
         mut sent: SentRequest,
         mut stalled: Option<SentRequest>,
     ) -> Result<EndpointResponse, AttemptError> {
-        let limit = time::sleep(millis::to_duration(self.first_event_timeout_ms(&sent.plan)));
+        let now = self.request.state.now();
+        let mut timeout_ms = self.first_event_timeout_ms(&sent.plan);
+        if self.may_retry() {
+            timeout_ms = timeout_ms.min(sent.patience_ms(now));
+        }
+        let limit = time::sleep(millis::to_duration(timeout_ms));
         tokio::pin!(limit);
+        let patience_ms = stalled.as_ref().map(|stalled| stalled.patience_ms(now));
+        let patience = millis::to_duration(patience_ms.unwrap_or(f64::MAX));
+        let stalled_until = time::Instant::now() + patience;
         loop {
             let earlier = async {
                 match stalled.as_mut() {
-                    Some(stalled) => stalled.exchange.as_mut().await,
+                    Some(stalled) => {
+                        time::timeout_at(stalled_until, stalled.exchange.as_mut()).await
+                    }
                     None => std::future::pending().await,
                 }
             };
@@ -389,7 +406,11 @@
                     return response;
                 }
                 reply = earlier => {
-                    let Some(earlier) = stalled.take() else {
+                    let Some(mut earlier) = stalled.take() else {
+                        continue;
+                    };
+                    let Ok(reply) = reply else {
+                        earlier.lease.end(health::HealthSignal::TimedOut.into());
                         continue;
                     };
                     match self.finish_exchange(earlier, reply).await {
@@ -826,6 +847,17 @@
     exchange: Pin<Box<dyn Future<Output = upstream::Result<ExchangeReply>>>>,
 }
 
+impl SentRequest {
+    /// Returns for how long it may still wait for a response once other endpoints are tried, ms.
+    fn patience_ms(&self, now: f64) -> f64 {
+        if self.memory.is_empty() {
+            return f64::MAX;
+        }
+        let patience_ms = MAX_UNUSED_MEMORY_MS.max(UNUSED_MEMORY_FACTOR * self.plan.predicted_ms);
+        self.placed_at + patience_ms - now
+    }
+}
+
 /// Sends a request and waits for the header of its response. If a reused connection turns out to be
 /// closed, the request is sent again over a new one, provided that it may run again and that the
 /// endpoint still accepts requests.
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -97,6 +97,11 @@
         }
         Ok(lease)
     }
+
+    /// Whether no memory is reserved.
+    pub fn is_empty(&self) -> bool {
+        self.reservations.is_empty()
+    }
 }
 
 impl Drop for MemoryLease {
