Don't attribute a response without an id on a reused connection

Cause: only a success had to echo the attempt id. A failure or a refusal without one passed for the response to the request sent next on the connection.

Evidence: late_copy_on_a_reused_connection_is_not_taken_for_the_response, six copies before the second response on a connection. Before, the 500 without an id was delivered with its body; copies with the other id and successes without one were dropped already.

Why this works: endpoints echo the id; without it a response on a reused connection may belong to any earlier request, so it counts as lost and the connection is closed. On a new connection there was no earlier request, and a failure without an id is forwarded as before. Requests that may run once always go over new ones.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -112,3 +112,32 @@
         }
     }
 }
+
+/// Copies of the response to another request, as they may come before the response to this one.
+const LATE_COPIES: [&str; 6] = [
+    "HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-runner-signature: s\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 200 OK\r\nx-runner-signature: s\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-runner-signature: s\r\ncontent-length: 40\r\n\r\ncopy",
+    "HTTP/1.1 500 Failed\r\nx-attempt-id: r1\r\nx-runner-signature: s\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 500 Failed\r\nx-runner-signature: s\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 4\r\n\r\ncopy",
+];
+
+// Guards against answers of other requests: a failure and a refusal without an attempt id were taken
+// for those of the request that was sent next on the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_on_a_reused_connection_is_not_taken_for_the_response() {
+    for copy in LATE_COPIES {
+        let (_store, endpoint, daemon) = start(RawResponse::Preceded { copy }).await;
+        let first = daemon.call("GET /safe/ HTTP/1.1", "r1");
+        assert_eq!((first.status, first.body.as_str()), (200, "r1"));
+        let second = daemon.call("GET /safe/ HTTP/1.1", "r2");
+        assert!(endpoint.request_count() >= 2, "{copy}");
+        assert!(!second.body.contains("copy"), "{copy}: {second:?}");
+        match second.status {
+            200 => assert_eq!(second.body, "r2", "{copy}"),
+            // The endpoint may have run the request.
+            status => assert_eq!(status, 502, "{copy}: {second:?}"),
+        }
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -463,7 +463,8 @@
             Ok((connection, response)) => {
                 self.record_notice(&plan.primary.endpoint, started_ms, placed_at, &response);
                 let keep_alive = upstream::keep_alive_timeout(response.headers());
-                let checked = self.check_response(response, &plan).await;
+                let reused = connection.is_reused();
+                let checked = self.check_response(response, &plan, reused).await;
                 checked.map(|parts| (connection, keep_alive, parts))
             }
             Err(error) => Err(self.exchange_error(&plan, &error)),
@@ -745,19 +746,21 @@
     }
 
     /// Checks that a response is a valid success for this request and converts it to an error
-    /// otherwise.
+    /// otherwise. `reused` tells whether its connection was used before.
     async fn check_response(
         &self,
         response: http::Response<Incoming>,
         plan: &job::PlacementPlan,
+        reused: bool,
     ) -> Result<(http::StatusCode, http::HeaderMap, Incoming), AttemptError> {
         let (parts, body) = response.into_parts();
         let marks = headers::parse_marks(parts.status, &parts.headers);
         let own_attempt = &self.request.hints.attempt_id;
-        let is_mismatched = marks
-            .attempt_id
-            .as_ref()
-            .is_some_and(|other| other != own_attempt);
+        let is_mismatched = match &marks.attempt_id {
+            Some(attempt_id) => attempt_id != own_attempt,
+            // It may belong to an earlier request on the connection.
+            None => reused,
+        };
         if is_mismatched {
             log::warn!(target: "sardinepaddle", request = own_attempt, endpoint:% = plan.primary.endpoint,
                 other = marks.attempt_id; "response to another request dropped");
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -60,6 +60,11 @@
 }
 
 impl UpstreamConnection {
+    /// Whether it was used for an earlier exchange, whose response may arrive once more.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Sends a request and waits for the header of its response.
     pub async fn exchange(
         &mut self,
