--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -36,9 +36,9 @@
 /// Multiples of the latency objective and of the gap objective for which clients wait at least; set
 /// by the users' protocol.
 const ABANDON_FACTORS: (f64, f64) = (4.0, 8.0);
-/// Time from its placement for which an attempt that may be repeated waits for a response while it
-/// holds reserved memory, ms, unless more than half of that was predicted. The memory may be unused
-/// all the while.
+/// Time from its placement for which an attempt that holds reserved memory waits for a response, ms,
+/// if it may be repeated: endpoints may leave the memory unused for nine seconds, set by the users'
+/// protocol.
 const MAX_UNUSED_MEMORY_MS: f64 = 8_000.0;
 /// Multiple of the predicted time for which such an attempt waits at least.
 const UNUSED_MEMORY_FACTOR: f64 = 2.0;
