--- a/crates/daemon/tests/behind_platform/reservations.rs
+++ b/crates/daemon/tests/behind_platform/reservations.rs
@@ -16,7 +16,7 @@
 /// Time for which memory may be reserved without use; set by the users' rules.
 const MAX_UNUSED: Duration = Duration::from_millis(9_000);
 
-/// Returns when an endpoint got its first order with a part of its body.
+/// Returns when an endpoint got its first order whose body contains a text.
 fn first_order(endpoint: &FakeEndpoint, text: &str) -> Option<Instant> {
     let requests = endpoint.requests();
     let mut orders = requests.iter().filter(|request| {
@@ -46,24 +46,14 @@
     let deadline = format!("X-Deadline-Ms: {DEADLINE_MS}");
     let usage = "X-Token-Usage: 22000,10";
     let headers = ["X-Attempt-Id: r1", &key, &deadline, usage];
-    let clients = daemon.clients;
     let sent_at = Instant::now();
-    let headers: Vec<String> = headers.iter().map(|header| (*header).to_owned()).collect();
-    let client = std::thread::spawn(move || {
-        let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
-        support::send_request(clients, "GET /stream/ HTTP/1.1", &headers)
-    });
-    let released = || {
-        let mut orders = endpoints.iter();
-        orders.find_map(|endpoint| first_order(endpoint, "release"))
+    support::send_request(daemon.clients, "GET /stream/ HTTP/1.1", &headers);
+    let first = |text| {
+        let mut endpoints = endpoints.iter();
+        endpoints.find_map(|endpoint| first_order(endpoint, text))
     };
-    RunningDaemon::wait_for("the release", || released().is_some());
-    client.join().unwrap();
-    assert!(
-        endpoints
-            .iter()
-            .any(|endpoint| first_order(endpoint, "reserve").is_some())
-    );
-    let held = released().unwrap() - sent_at;
+    assert!(first("reserve").is_some());
+    RunningDaemon::wait_for("the release", || first("release").is_some());
+    let held = first("release").unwrap() - sent_at;
     assert!(held < MAX_UNUSED, "{held:?}");
 }
