--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -147,17 +147,22 @@
     }
 }
 
-/// Answers the hellos of other daemons as a daemon that follows `placer`.
-async fn start_follower_of(host: &'static str, placer: &'static str) -> SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+/// Returns the encoded hello of a ready daemon whose requests `placer` places.
+fn ready_hello(host: &str, placer: &str) -> bytes::Bytes {
     let hello = PlacementMessage::Hello {
         host: ids::HostId::new(host),
         incarnation: 1,
         status: message::PlacerStatus::Ready,
         placer: Some(ids::HostId::new(placer)),
     };
-    let hello = message::encode(&hello, 0).unwrap();
+    message::encode(&hello, 0).unwrap()
+}
+
+/// Answers the hellos of other daemons as a daemon that follows `placer`.
+async fn start_follower_of(host: &'static str, placer: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hello = ready_hello(host, placer);
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let hello = hello.clone();
@@ -203,12 +208,7 @@
 async fn start_placer_that_moves_to(host: &'static str, placer: &'static str) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let hello = PlacementMessage::Hello {
-        host: ids::HostId::new(host),
-        incarnation: 1,
-        status: message::PlacerStatus::Ready,
-        placer: Some(ids::HostId::new(host)),
-    };
+    let hello = ready_hello(host, host);
     let heartbeat = PlacementMessage::Heartbeat {
         ages_ms: vec![0; 4],
         store_reachable: true,
@@ -218,8 +218,8 @@
     let moved = PlacementMessage::PlacerChanged {
         placer: ids::HostId::new(placer),
     };
-    let [hello, heartbeat, moved] =
-        [hello, heartbeat, moved].map(|message| message::encode(&message, 0).unwrap());
+    let [heartbeat, moved] =
+        [heartbeat, moved].map(|message| message::encode(&message, 0).unwrap());
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let (hello, heartbeat, moved) = (hello.clone(), heartbeat.clone(), moved.clone());
--- a/crates/pool/tests/shares.rs
+++ b/crates/pool/tests/shares.rs
@@ -1,14 +1,13 @@
 //! Several placers at the same time keep to the limits of cold endpoints together.
 
+#[path = "support/placers.rs"]
+mod placers;
 #[path = "support/profiles.rs"]
 mod profiles;
 
 use std::collections;
-use std::sync;
 
 use model::ids;
-use model::map;
-use model::serving;
 use sardinepaddle_pool::job;
 use sardinepaddle_pool::placer;
 use sardinepaddle_pool::shares;
@@ -30,26 +29,8 @@
 
 impl GroupPlacer {
     fn new(incarnation: u64) -> Self {
-        let mut placer = placer::JobPlacer::new(placer::PlacerBounds {
-            retry_ratio: 0.2,
-            retry_extra: 3.0,
-            retry_window_ms: 10_000.0,
-            cold_factor: 1.5,
-            cold_extra: 5.0,
-        });
-        let service = ids::ServiceId::new("llm");
-        let profile = serving::ServiceProfile {
-            service: service.clone(),
-            cold_rate: COLD_RATE,
-            engine: Some(profiles::profile(16, 51)),
-        };
-        let mut services = map::HashMap::default();
-        services.insert(service, sync::Arc::new(profile));
-        placer.set_services(&services);
-        let listed: Vec<_> = (0..ENDPOINTS).map(endpoint).collect();
-        placer.set_endpoints(&listed, &[]);
         Self {
-            placer,
+            placer: placers::placer_with_engines(ENDPOINTS, COLD_RATE),
             history: shares::GroupHistory::default(),
             incarnation,
             next_number: 0,
@@ -68,7 +49,8 @@
             incarnation: self.incarnation,
             number: self.next_number,
         };
-        self.placer.submit(now, job, short_prompt());
+        self.placer
+            .submit(now, job, placers::prompt("short", 1_000, 300.0));
         let decisions = self.placer.take_decisions();
         self.placer.cancel(now, job);
         let plans = decisions
@@ -82,40 +64,6 @@
     }
 }
 
-fn endpoint(index: usize) -> serving::LiveEndpoint {
-    serving::LiveEndpoint {
-        id: ids::EndpointId::new(&format!("e{index}")),
-        service: ids::ServiceId::new("llm"),
-        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
-        centre: ids::CentreId::new("a"),
-        slots: 16,
-        leaving: false,
-        started_ms: 0,
-        sequence: 0,
-    }
-}
-
-fn short_prompt() -> job::PlacementRequest {
-    job::PlacementRequest {
-        route: "short".to_owned(),
-        service: ids::ServiceId::new("llm"),
-        kind: job::JobKind::Prompt {
-            tokens: 1_000,
-            answer_tokens: 100,
-        },
-        centre: ids::CentreId::new("a"),
-        objective_remaining_ms: 300.0,
-        full_objective_ms: 300.0,
-        gap_objective_ms: 250.0,
-        abandon_after_ms: 2_000.0,
-        remaining_ms: 10_000.0,
-        priority: 1,
-        excluded: Vec::new(),
-        shared_parts: Vec::new(),
-        is_retry: false,
-    }
-}
-
 /// Times of the requests sent to each endpoint.
 type SendTable = collections::BTreeMap<ids::EndpointId, Vec<f64>>;
 
