Log a digest by which a repeated request is recognized

The digest covers host name, method, path, customer and body; attempt ids and other headers differ between repeats.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -70,6 +70,27 @@
     });
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn log_tells_whether_two_requests_are_the_same() {
+    let (_store, _endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
+    let lines = ["GET /safe/a", "GET /safe/a", "GET /safe/b", "POST /safe/a"];
+    for (number, line) in lines.iter().enumerate() {
+        let response = daemon.call(&format!("{line} HTTP/1.1"), &format!("r{number}"));
+        assert_eq!(response.status, 200);
+    }
+    let digests = || -> Vec<String> {
+        let log = daemon.log();
+        let placed = log.lines().filter(|line| line.contains("request placed"));
+        let digests = placed.filter_map(|line| line.split("\"digest\":\"").nth(1));
+        digests.map(|rest| rest[..16].to_owned()).collect()
+    };
+    RunningDaemon::wait_for("the log lines", || digests().len() == lines.len());
+    let digests = digests();
+    assert_eq!(digests[0], digests[1]);
+    assert_ne!(digests[0], digests[2]);
+    assert_ne!(digests[0], digests[3]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashed_its_endpoint_on_a_reused_connection_is_not_said_to_be_not_run() {
     let (_store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use model::ids;
 use model::millis;
 use platform::headers;
 use pool::routes;
@@ -180,7 +181,12 @@
         Err(_) => return Err(refuse(response::LocalResponse::BodySlow)),
     };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let customer = route_match.customer.as_ref();
+    let customer = customer.map_or("", ids::CustomerId::as_str);
+    let texts = [host, parts.method.as_str(), path, customer].map(str::as_bytes);
+    let [host, method, target, customer] = texts;
     Ok(request::ClientRequest {
+        digest: ids::RequestDigest::of(&[host, method, target, customer, &body]),
         upstreams: context.upstreams.clone(),
         route_match,
         method: parts.method.clone(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -61,6 +61,7 @@
     pub path: String,
     pub headers: http::HeaderMap,
     pub body: Bytes,
+    pub digest: ids::RequestDigest,
     /// Arrival time, ms since the start of the process.
     pub arrived_at: f64,
     /// Time by which the response must be complete, ms since the start of the process.
@@ -570,7 +571,7 @@
                 let (tokens, answer_tokens) = request.hints.tokens.unwrap_or_default();
                 log::info!(target: "sardinepaddle", request = request.hints.attempt_id,
                     job = job.number, endpoint:% = plan.primary.endpoint,
-                    prompt_tokens = tokens, answer_tokens,
+                    digest:% = request.digest, prompt_tokens = tokens, answer_tokens,
                     parts = part_names(&request.hints.shared_parts), helped_by = helped_by(&plan),
                     helpers = plan.helpers.len(), predicted_ms = plan.predicted_ms,
                     waited_ms = waited, left_ms = request.remaining_ms(),
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -133,6 +133,22 @@
     Some(AttemptId { request, number })
 }
 
+/// Computes a digest of several fields, each with its length.
+fn digest_fields(fields: &[&[u8]]) -> [u8; 32] {
+    let mut digest = sha2::Sha256::new();
+    for field in fields {
+        digest.update((field.len() as u64).to_le_bytes());
+        digest.update(field);
+    }
+    digest.finalize().into()
+}
+
+/// Returns the first eight bytes of a digest as a number.
+fn digest_prefix(digest: &[u8; 32]) -> u64 {
+    let bytes = digest.iter().take(8);
+    bytes.fold(0, |number, byte| number << 8 | u64::from(*byte))
+}
+
 /// Digest of an idempotency key together with its service and customer.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -153,13 +169,8 @@
     /// assert_ne!(one, two);
     /// ```
     pub fn digest(service: &ServiceId, customer: &CustomerId, key: &str) -> Self {
-        let mut digest = sha2::Sha256::new();
-        for part in [service.as_str(), customer.as_str(), key] {
-            digest.update((part.len() as u64).to_le_bytes());
-            digest.update(part.as_bytes());
-        }
-        let hex = digest
-            .finalize()
+        let fields = [service.as_str(), customer.as_str(), key];
+        let hex = digest_fields(&fields.map(str::as_bytes))
             .iter()
             .map(|byte| format!("{byte:02x}"))
             .collect::<String>();
@@ -196,9 +207,7 @@
         if let Ok(number) = u64::from_str_radix(name, 16) {
             return Self(number);
         }
-        let digest = sha2::Sha256::digest(name.as_bytes());
-        let bytes = digest.iter().take(8);
-        Self(bytes.fold(0, |number, byte| number << 8 | u64::from(*byte)))
+        Self(digest_prefix(&sha2::Sha256::digest(name.as_bytes()).into()))
     }
 }
 
@@ -208,6 +217,32 @@
     }
 }
 
+/// Digest by which a request is recognized when its client sends it again, through any daemon.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// Computes the digest of the fields that a request has again when it is repeated, such as
+    /// customer, path and body. Headers that differ between attempts are no such fields.
+    ///
+    /// ```
+    /// use sardinepaddle_model::ids::RequestDigest;
+    /// let digest = RequestDigest::of(&[b"customer-1", b"/orders/", b"{}"]);
+    /// assert_eq!(digest, RequestDigest::of(&[b"customer-1", b"/orders/", b"{}"]));
+    /// assert_ne!(digest, RequestDigest::of(&[b"customer-1/", b"orders/", b"{}"]));
+    /// ```
+    pub fn of(fields: &[&[u8]]) -> Self {
+        Self(digest_prefix(&digest_fields(fields)))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Index of one of the objects across which claims are sharded.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
