Failing tests: a request that comes again crashes endpoint after endpoint

Three daemons, three endpoints, and a plain, an unsafe and a stream request that end each endpoint that begins to run them, sent again each 700 ms.

The crash trigger of the fakes also takes a URI.

--- a/crates/daemon/tests/behind_platform/crashing_parts.rs
+++ b/crates/daemon/tests/behind_platform/crashing_parts.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use model::millis;
+use platform_fakes::endpoint::CrashCause;
 use platform_fakes::endpoint::CrashTrigger;
 use platform_fakes::endpoint::EndpointScript;
 use platform_fakes::endpoint::FakeEndpoint;
-use platform_fakes::store::FakeObjectStore;
 
 use crate::support;
 use crate::support::KEY;
@@ -28,40 +27,17 @@
 const CRASH_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval between two prompts of each thread that sends sound ones.
 const SOUND_INTERVAL: Duration = Duration::from_millis(40);
-/// Interval at which endpoints that are back register again.
-const REGISTER_INTERVAL: Duration = Duration::from_millis(50);
 
 fn start_crashing(endpoints: &[FakeEndpoint]) {
     for endpoint in endpoints {
         endpoint.set_crash_trigger(CrashTrigger {
-            part: CRASHING_PART.to_owned(),
+            cause: CrashCause::Part(CRASHING_PART.to_owned()),
             crash_after: Duration::from_millis(60),
             down_for: Duration::from_millis(1_200),
         });
     }
 }
 
-/// Registers endpoints again after their ends, until `stopped` is set.
-fn keep_registered(
-    store: &FakeObjectStore,
-    endpoints: &[FakeEndpoint],
-    stopped: &atomic::AtomicBool,
-) {
-    let mut registered = vec![0; endpoints.len()];
-    while !stopped.load(atomic::Ordering::Relaxed) {
-        for (endpoint, registered) in endpoints.iter().zip(&mut registered) {
-            let ends = endpoint.end_count();
-            if ends > *registered && !endpoint.is_down() {
-                *registered = ends;
-                let mut entry = endpoint.entry("s", "ready");
-                entry["born"] = millis::since_epoch().into();
-                store.put("servers", &endpoint.id, entry);
-            }
-        }
-        thread::sleep(REGISTER_INTERVAL);
-    }
-}
-
 fn send_prompt(daemon: &RunningDaemon, parts: &[&str], id: &str) -> support::ReceivedResponse {
     let shared: String = parts.iter().map(|part| format!("{part}:100,")).collect();
     let headers = [
@@ -132,7 +108,7 @@
     let started_at = Instant::now();
     thread::scope(|scope| {
         let (daemons, stopped, outcomes) = (&daemons, &stopped, &outcomes);
-        scope.spawn(|| keep_registered(&store, &endpoints, stopped));
+        scope.spawn(|| support::keep_registered(&store, &endpoints, stopped));
         for name in ["a0", "b0", "c0", "d0"] {
             scope.spawn(move || outcomes.keep_sending(daemons, name, stopped));
         }
@@ -186,7 +162,7 @@
     let is_placer = |daemon: &RunningDaemon| daemon.log().contains("daemon connected");
     let placer = daemons.iter().position(is_placer).unwrap();
     thread::scope(|scope| {
-        scope.spawn(|| keep_registered(&store, &endpoints, &stopped));
+        scope.spawn(|| support::keep_registered(&store, &endpoints, &stopped));
         let follower = &daemons[1 - placer];
         let mut number = 0;
         RunningDaemon::wait_for("the quarantine", || {
--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -1,6 +1,7 @@
 //! Runs the daemon as a real process with fakes of the users' platform.
 
 mod crashing_parts;
+mod crashing_requests;
 mod endpoint_notices;
 mod placer_selection;
 mod rate_limits;
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -3,11 +3,14 @@
 use std::io::Read;
 use std::io::Write;
 use std::net;
+use std::sync::atomic;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use fakes::fleet;
 use fakes::process;
+use model::millis;
 use platform_fakes::endpoint::EndpointScript;
 use platform_fakes::endpoint::FakeEndpoint;
 use platform_fakes::store::FakeObjectStore;
@@ -238,3 +241,27 @@
     });
     (store, endpoints, daemon)
 }
+
+/// Interval at which endpoints that are back register again.
+const REGISTER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Registers endpoints again after their ends, until `stopped` is set.
+pub fn keep_registered(
+    store: &FakeObjectStore,
+    endpoints: &[FakeEndpoint],
+    stopped: &atomic::AtomicBool,
+) {
+    let mut registered = vec![0; endpoints.len()];
+    while !stopped.load(atomic::Ordering::Relaxed) {
+        for (endpoint, registered) in endpoints.iter().zip(&mut registered) {
+            let ends = endpoint.end_count();
+            if ends > *registered && !endpoint.is_down() {
+                *registered = ends;
+                let mut entry = endpoint.entry("s", "ready");
+                entry["born"] = millis::since_epoch().into();
+                store.put("servers", &endpoint.id, entry);
+            }
+        }
+        thread::sleep(REGISTER_INTERVAL);
+    }
+}
