Quarantine a request that crashes each endpoint that runs it

Callers saw a service without endpoints for seconds, again and again: a request that ended an endpoint was tried on the next one, and sent again by its client through any daemon. Each attempt was judged by itself, as a fault of its endpoint; the tracker of crashes knew parts of prompts only, so it saw neither calls nor prompts without a rare part. The class: work that is itself at fault, judged as its endpoint's.

The tracker now knows two features of a request: parts of its prompt and a digest of the whole. It is one finder for both, as each crash has suspects of both kinds. What endpoints respond with, also status 500, is no crash any more. A suspected request runs once at a time, so that repeats sent at once show one after the other what they do. Suspicions are exchanged, so that they survive the placer.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -113,6 +113,33 @@
         .new_codec()
 }
 
+/// What follows the era of a message; builds that don't know a part of it ignore the rest.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct MessageTail {
+    /// Parts of the prompts in the message, request by request.
+    parts: Vec<Vec<ids::PartId>>,
+    /// Digests of the requests in the message.
+    digests: Vec<Option<ids::RequestDigest>>,
+    /// Whether the endpoint responded to the attempt that ended.
+    responded: bool,
+}
+
+impl MessageTail {
+    /// Decodes what the sender's build has encoded.
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut tail = Self::default();
+        if bytes.is_empty() {
+            return Ok(tail);
+        }
+        let (parts, bytes) = postcard::take_from_bytes(bytes)?;
+        tail.parts = parts;
+        if !bytes.is_empty() {
+            (tail.digests, tail.responded) = postcard::from_bytes(bytes)?;
+        }
+        Ok(tail)
+    }
+}
+
 impl PlacementMessage {
     /// Returns the placement requests in the message.
     fn requests(&self) -> Vec<&job::PlacementRequest> {
@@ -133,11 +160,34 @@
             _ => Vec::new(),
         }
     }
+
+    fn tail(&self) -> MessageTail {
+        let requests = self.requests();
+        MessageTail {
+            parts: requests
+                .iter()
+                .map(|request| request.shared_parts.clone())
+                .collect(),
+            digests: requests.iter().map(|request| request.digest).collect(),
+            responded: matches!(self, Self::JobFinished { outcome, .. } if outcome.responded),
+        }
+    }
+
+    fn apply_tail(&mut self, tail: MessageTail) {
+        if let Self::JobFinished { outcome, .. } = self {
+            outcome.responded = tail.responded;
+        }
+        for (request, parts) in self.requests_mut().into_iter().zip(tail.parts) {
+            request.shared_parts = parts;
+        }
+        for (request, digest) in self.requests_mut().into_iter().zip(tail.digests) {
+            request.digest = digest;
+        }
+    }
 }
 
 /// Encodes a message and the era of the store to which it belongs, zero for none. The era follows
-/// the message, and the parts of the prompts in it follow the era, where builds that don't know
-/// them ignore them.
+/// the message, and what builds without it don't need follows the era, where they ignore it.
 ///
 /// ```
 /// use sardinepaddle_gateway::message::{decode, encode, PlacementMessage};
@@ -147,15 +197,16 @@
 /// ```
 pub fn encode(message: &PlacementMessage, era: u64) -> Result<Bytes, postcard::Error> {
     let mut bytes = postcard::to_stdvec(message)?;
-    let requests = message.requests();
-    let parts = requests.iter().map(|request| &request.shared_parts);
-    let parts: Vec<&Vec<ids::PartId>> = parts.collect();
-    let has_parts = parts.iter().any(|parts| !parts.is_empty());
+    let tail = message.tail();
+    let has_digests = tail.responded || tail.digests.iter().any(Option::is_some);
+    let has_parts = has_digests || tail.parts.iter().any(|parts| !parts.is_empty());
     if era > 0 || has_parts {
         bytes = postcard::to_extend(&era, bytes)?;
     }
-    if has_parts {
-        bytes = postcard::to_extend(&parts, bytes)?;
+    if has_digests {
+        bytes = postcard::to_extend(&tail, bytes)?;
+    } else if has_parts {
+        bytes = postcard::to_extend(&tail.parts, bytes)?;
     }
     Ok(Bytes::from(bytes))
 }
@@ -167,11 +218,6 @@
         return Ok((message, 0));
     }
     let (era, rest) = postcard::take_from_bytes(rest)?;
-    if !rest.is_empty() {
-        let parts: Vec<Vec<ids::PartId>> = postcard::from_bytes(rest)?;
-        for (request, parts) in message.requests_mut().into_iter().zip(parts) {
-            request.shared_parts = parts;
-        }
-    }
+    message.apply_tail(MessageTail::decode(rest)?);
     Ok((message, era))
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,6 +15,7 @@
 use pool::attempts;
 use pool::health;
 use pool::job;
+use pool::quarantine;
 use pool::routes;
 use tokio::time;
 
@@ -73,6 +74,16 @@
         self.deadline - self.state.now()
     }
 
+    /// Returns the time for which requests like this one are declined, ms, as endpoints crash on
+    /// them.
+    fn quarantined_ms(&self) -> Option<f64> {
+        let features = quarantine::RequestFeatures {
+            parts: self.hints.shared_parts.clone(),
+            digest: Some(self.digest),
+        };
+        self.state.quarantined_ms(&features)
+    }
+
     /// Gap before or between events at which the client abandons the request, ms.
     fn abandon_after_ms(&self) -> f64 {
         let route = &self.route_match.route;
@@ -164,6 +175,8 @@
     signal: health::HealthSignal,
     /// The endpoint that caused the failure; `None` for the primary of the plan.
     at_fault: Option<ids::EndpointId>,
+    /// Whether the endpoint responded.
+    responded: bool,
     reason: &'static str,
     failure: Option<EndpointFailure>,
     /// Set if the placement was declined, in which case there is no retry.
@@ -176,6 +189,7 @@
             execution: attempts::ExecutionStatus::NotRun,
             signal,
             at_fault: None,
+            responded: false,
             reason,
             failure: None,
             declined: None,
@@ -518,6 +532,7 @@
         lease.end(job::JobOutcome {
             signal: error.signal,
             at_fault: error.at_fault.clone(),
+            responded: error.responded,
         });
     }
 
@@ -601,15 +616,16 @@
         }
     }
 
-    /// Returns the error of a prompt on which endpoints crash.
+    /// Returns the error of a request on which endpoints crash.
     fn quarantined_error(&self) -> Option<AttemptError> {
         let request = &self.request;
-        let left_ms = request.state.quarantined_ms(&request.hints.shared_parts)?;
+        let left_ms = request.quarantined_ms()?;
         let reason = job::DeclineReason::Quarantined.name();
         let retry_after_ms = left_ms.ceil() as u64;
         request.state.metrics.placement(reason, 0.0);
         log::info!(target: "sardinepaddle", request = request.hints.attempt_id, reason,
-            parts = part_names(&request.hints.shared_parts), retry_after_ms; "request declined");
+            digest:% = request.digest, parts = part_names(&request.hints.shared_parts),
+            retry_after_ms; "request declined");
         Some(AttemptError::declined(response::LocalResponse::NotRun {
             reason,
             retry_after_ms,
@@ -642,6 +658,7 @@
             priority: request.route_match.priority,
             excluded,
             shared_parts: request.hints.shared_parts.clone(),
+            digest: Some(request.digest),
             is_retry: self.possible_runs > 0 || self.attempts > self.unsent,
         }
     }
@@ -796,14 +813,17 @@
             if is_valid {
                 return Ok((parts.status, parts.headers, body));
             }
-            return Err(AttemptError::may_have_run(
-                health::HealthSignal::Failed,
-                "unsound_answer",
-            ));
+            return Err(AttemptError {
+                responded: true,
+                ..AttemptError::may_have_run(health::HealthSignal::Failed, "unsound_answer")
+            });
         }
         log::info!(target: "sardinepaddle", request = own_attempt, endpoint:% = plan.primary.endpoint,
             status = parts.status.as_u16(); "endpoint returned a failure");
-        let mut error = AttemptError::may_have_run(health::HealthSignal::Failed, "endpoint_failed");
+        let mut error = AttemptError {
+            responded: true,
+            ..AttemptError::may_have_run(health::HealthSignal::Failed, "endpoint_failed")
+        };
         if parts.status.is_client_error() {
             error.signal = health::HealthSignal::Inconclusive;
         }
@@ -887,7 +907,8 @@
         *outgoing.headers_mut() = headers.clone();
         match connection.exchange(outgoing).await {
             Err(error @ upstream::UpstreamError::Stale(_))
-                if request.state.may_send(&primary.endpoint) =>
+                if request.state.may_send(&primary.endpoint)
+                    && request.quarantined_ms().is_none() =>
             {
                 force_new = true;
                 first_error = Some(error);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -104,7 +104,7 @@
     quiet_periods: cell::RefCell<quiet::QuietPeriods>,
     /// When the current limit of each endpoint became known, ms.
     limits_known_since: cell::RefCell<map::HashMap<ids::EndpointId, f64>>,
-    /// Quarantined parts of prompts.
+    /// Quarantined causes of crashes.
     quarantines: cell::RefCell<quarantine::QuarantineList>,
     /// Time of the shutdown request, ms.
     shutdown_started_at: cell::Cell<Option<f64>>,
@@ -272,11 +272,16 @@
         if change.quarantines {
             self.update_quarantines(now);
         }
+        for (age_ms, report) in &change.crash_reports {
+            self.placer
+                .borrow_mut()
+                .merge_crash_report(now, *age_ms, report);
+        }
         if change.limits && change.kinds.is_empty() {
             self.update_limits(&self.cache.borrow());
         }
         if change.kinds.is_empty() {
-            if change.quarantines || change.limits {
+            if change.quarantines || change.limits || !change.crash_reports.is_empty() {
                 self.changes.send_replace(self.cache.borrow().last_change());
             }
             return;
@@ -297,41 +302,56 @@
         self.deliver_decisions();
     }
 
-    /// Publishes the changes of quarantined parts that the local placer has decided.
-    fn publish_quarantines(&self) {
+    /// Publishes what the local placer has found out about crashes.
+    fn publish_crashes(&self) {
         let changes = self.placer.borrow_mut().take_quarantine_changes();
         let is_follower = matches!(
             *self.placer_location.borrow(),
             PlacerLocation::Remote { .. }
         );
-        if is_follower && !changes.is_empty() {
-            // The local placer knows the requests of this daemon only.
-            self.update_quarantines(self.now());
+        if is_follower {
+            if !changes.is_empty() {
+                // The local placer knows the requests of this daemon only.
+                self.update_quarantines(self.now());
+            }
             return;
         }
         for change in changes {
             log::warn!(target: "sardinepaddle", change:? = change; "quarantine decided");
-            let (parts, period_ms) = match &change {
+            let (cause, period_ms) = match &change {
                 crashes::QuarantineChange::Start {
-                    parts, doubtful, ..
+                    cause, doubtful, ..
                 } => match doubtful {
-                    true => (parts, Some(quarantine::DOUBTFUL_QUARANTINE_MS)),
-                    false => (parts, Some(quarantine::QUARANTINE_MS)),
+                    true => (cause, Some(quarantine::DOUBTFUL_QUARANTINE_MS)),
+                    false => (cause, Some(quarantine::QUARANTINE_MS)),
                 },
-                crashes::QuarantineChange::Release { parts } => (parts, None),
+                crashes::QuarantineChange::Release { cause } => (cause, None),
             };
-            let object = self.cache.borrow().quarantine_object(parts, period_ms);
-            match object {
-                Ok(object) => self.apply(vec![object], "placer"),
-                Err(error) => log::warn!(target: "sardinepaddle", error:% = error;
-                    "quarantine not published"),
-            }
+            let object = self.cache.borrow().quarantine_object(cause, period_ms);
+            self.apply_own(object);
+        }
+        let now = self.now();
+        let reports = self.placer.borrow_mut().take_crash_reports(now);
+        for (age_ms, report) in reports {
+            log::info!(target: "sardinepaddle", age_ms, report:? = report;
+                "requests suspected of a crash");
+            let object = self.cache.borrow().crash_object(age_ms, &report);
+            self.apply_own(object);
+        }
+    }
+
+    /// Applies an object that this daemon made, here and at other daemons.
+    fn apply_own(&self, object: std::io::Result<replica::ReplicaObject>) {
+        match object {
+            Ok(object) => self.apply(vec![object], "placer"),
+            Err(error) => log::warn!(target: "sardinepaddle", error:% = error;
+                "object for other daemons not published"),
         }
     }
 
-    /// Returns the time for which prompts with these parts are still declined, ms, if they are.
-    pub fn quarantined_ms(&self, parts: &[ids::PartId]) -> Option<f64> {
-        self.quarantines.borrow().remaining_ms(self.now(), parts)
+    /// Returns the time for which a request is still declined, ms, if it is quarantined.
+    pub fn quarantined_ms(&self, request: &quarantine::RequestFeatures) -> Option<f64> {
+        self.quarantines.borrow().remaining_ms(self.now(), request)
     }
 
     fn update_placer(&self, cache: &store_cache::StoreCache) {
@@ -687,7 +707,7 @@
         if needs_tick {
             self.placer.borrow_mut().tick(self.now());
             self.deliver_decisions();
-            self.publish_quarantines();
+            self.publish_crashes();
         }
         self.reroute_unanswered();
     }
@@ -698,7 +718,7 @@
         let now = self.now();
         self.placer.borrow_mut().tick(now);
         self.deliver_decisions();
-        self.publish_quarantines();
+        self.publish_crashes();
         self.quiet_periods.borrow_mut().sweep(now);
         self.quarantines.borrow_mut().expire(now);
         let max_age_ms = self.settings().bounds.endpoints_ms;
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -9,6 +9,7 @@
 use model::millis;
 use model::serving;
 use platform::catalog;
+use pool::crashes;
 use pool::holds;
 use pool::limits;
 use pool::quarantine;
@@ -35,6 +36,14 @@
 /// Number of another such kind: limits that endpoints name, by endpoint. The revision is the time
 /// of the change, Unix ms.
 const LIMIT_KIND: u8 = u8::MAX - 2;
+/// Number of another such kind: requests that are quarantined, named by their digests. The revision
+/// is the time of the change, Unix ms.
+const REQUEST_QUARANTINE_KIND: u8 = u8::MAX - 3;
+/// Number of another such kind: crashes and the requests that are suspected for them, by endpoint. The
+/// revision is the time of the report, Unix ms.
+const CRASH_KIND: u8 = u8::MAX - 4;
+/// Time after its quarantine for which a request remains known, ms.
+const ENDED_QUARANTINE_MS: u64 = 3_600_000;
 /// Age reported for a kind that was never listed, ms.
 const NEVER_SYNCED_AGE_MS: u64 = 1_000_000_000;
 
@@ -43,8 +52,10 @@
 pub(crate) struct CacheChange {
     /// Kinds of the store's objects that changed.
     pub kinds: Vec<catalog::ObjectKind>,
-    /// Whether the quarantined parts changed.
+    /// Whether the quarantined causes changed.
     pub quarantines: bool,
+    /// Reports on crashes that changed, each with the age of the crash, ms.
+    pub crash_reports: Vec<(f64, crashes::CrashReport)>,
     /// Whether the limits that endpoints name changed.
     pub limits: bool,
 }
@@ -245,48 +256,75 @@
         compression::decompress(compressed, content.map(|content| content.as_ref()))
     }
 
-    /// Returns the quarantined parts, each with the time for which they remain so, ms.
-    pub fn quarantines(&self) -> Vec<(quarantine::PartQuarantine, f64)> {
+    /// Returns the quarantined causes, each with the time for which they remain so, ms, and the
+    /// requests whose quarantine has ended, with zero.
+    pub fn quarantines(&self) -> Vec<(quarantine::CrashCause, f64)> {
         let now_ms = millis::since_epoch();
         let mut quarantines = Vec::new();
         for object in self.replica.present(QUARANTINE_KIND) {
-            let spec = object.spec.as_deref().unwrap_or_default();
-            match postcard::from_bytes::<quarantine::PartQuarantine>(spec) {
-                Ok(quarantine) => {
-                    let left_ms = quarantine.until_ms.saturating_sub(now_ms) as f64;
-                    let left_ms = left_ms.min(quarantine::QUARANTINE_MS);
-                    if left_ms > 0.0 {
-                        quarantines.push((quarantine, left_ms));
-                    }
-                }
-                Err(error) => {
-                    log::warn!(target: "sardinepaddle", parts = object.name, error:% = error;
-                        "invalid quarantine skipped");
-                }
+            let Some(quarantine) = decode_own::<quarantine::PartQuarantine>(object) else {
+                continue;
+            };
+            let left_ms = remaining_ms(quarantine.until_ms, now_ms);
+            if left_ms > 0.0 {
+                quarantines.push((quarantine::CrashCause::Parts(quarantine.parts), left_ms));
+            }
+        }
+        for object in self.replica.present(REQUEST_QUARANTINE_KIND) {
+            let Some(quarantine) = decode_own::<quarantine::RequestQuarantine>(object) else {
+                continue;
+            };
+            if quarantine.until_ms + ENDED_QUARANTINE_MS > now_ms {
+                let left_ms = remaining_ms(quarantine.until_ms, now_ms);
+                quarantines.push((quarantine::CrashCause::Request(quarantine.digest), left_ms));
             }
         }
         quarantines
     }
 
-    /// Returns the object that quarantines parts of prompts for a period here and at other daemons;
-    /// `None` ends their quarantine.
+    /// Returns the object that quarantines a cause for a period here and at other daemons; `None`
+    /// ends its quarantine.
     pub fn quarantine_object(
         &self,
-        parts: &[ids::PartId],
+        cause: &quarantine::CrashCause,
         period_ms: Option<f64>,
     ) -> io::Result<replica::ReplicaObject> {
-        let names: Vec<String> = parts.iter().map(ids::PartId::to_string).collect();
-        let content = period_ms.map(|period_ms| quarantine::PartQuarantine {
-            parts: parts.to_vec(),
-            until_ms: millis::since_epoch() + period_ms as u64,
-        });
-        self.own_object(QUARANTINE_KIND, names.join("+"), content.as_ref())
+        let until_ms = period_ms.map(|period_ms| millis::since_epoch() + period_ms as u64);
+        let name = cause.to_string();
+        match cause {
+            quarantine::CrashCause::Parts(parts) => {
+                let content = until_ms.map(|until_ms| quarantine::PartQuarantine {
+                    parts: parts.clone(),
+                    until_ms,
+                });
+                self.own_object(QUARANTINE_KIND, name, content.as_ref())
+            }
+            quarantine::CrashCause::Request(digest) => {
+                let content = until_ms.map(|until_ms| quarantine::RequestQuarantine {
+                    digest: *digest,
+                    until_ms,
+                });
+                self.own_object(REQUEST_QUARANTINE_KIND, name, content.as_ref())
+            }
+        }
+    }
+
+    /// Returns the object that tells other daemons of a crash that was `age_ms` ago.
+    pub fn crash_object(
+        &self,
+        age_ms: f64,
+        report: &crashes::CrashReport,
+    ) -> io::Result<replica::ReplicaObject> {
+        let endpoint = report.incarnations.first();
+        let name = endpoint.map_or("", |(id, _)| id.as_str()).to_owned();
+        let at_ms = millis::since_epoch().saturating_sub(age_ms as u64);
+        self.own_object(CRASH_KIND, name, Some(&(at_ms, report)))
     }
 
     /// Returns the limit that an endpoint named, unless it is that of another incarnation.
     pub fn limit(&self, id: &ids::EndpointId, started_ms: u64) -> Option<limits::EndpointLimit> {
         let object = self.replica.object(LIMIT_KIND, id.as_str())?;
-        let limit = decode_limit(object)?;
+        let limit: limits::EndpointLimit = decode_own(object)?;
         (limit.started_ms == started_ms).then_some(limit)
     }
 
@@ -296,7 +334,7 @@
         let named = objects.filter_map(|object| {
             let id = ids::EndpointId::new(&object.name);
             self.endpoints.contains_key(&id).then_some(())?;
-            Some((id, decode_limit(object)?))
+            Some((id, decode_own(object)?))
         });
         named.collect()
     }
@@ -342,6 +380,7 @@
         source: &str,
     ) -> CacheChange {
         let (mut quarantines, mut limits) = (false, false);
+        let mut crash_reports = Vec::new();
         let mut changed = [false; KIND_COUNT];
         for mut object in objects {
             self.observe_era(object.era, source);
@@ -361,15 +400,25 @@
             let name = object.name.clone();
             let number = object.kind;
             let is_applied = self.replica.apply(object);
-            if is_applied && number == QUARANTINE_KIND {
+            if is_applied && matches!(number, QUARANTINE_KIND | REQUEST_QUARANTINE_KIND) {
                 let is_quarantined = self.replica.object(number, &name);
                 let is_quarantined = is_quarantined.is_some_and(|object| object.spec.is_some());
-                log::warn!(target: "sardinepaddle", parts = name, quarantined:% = is_quarantined,
-                    source; "quarantine of prompt parts changed");
+                log::warn!(target: "sardinepaddle", cause = name, quarantined:% = is_quarantined,
+                    source; "quarantine changed");
                 quarantines = true;
             }
+            if is_applied && number == CRASH_KIND {
+                let object = self.replica.object(number, &name);
+                if let Some((at_ms, report)) = object.and_then(decode_own::<(u64, _)>) {
+                    let age_ms = millis::since_epoch().saturating_sub(at_ms) as f64;
+                    crash_reports.push((age_ms, report));
+                }
+            }
             if is_applied && number == LIMIT_KIND {
-                let limit = self.replica.object(number, &name).and_then(decode_limit);
+                let limit = self
+                    .replica
+                    .object(number, &name)
+                    .and_then(decode_own::<limits::EndpointLimit>);
                 log::info!(target: "sardinepaddle", endpoint = name, source,
                     per_s:? = limit.map(|limit| limit.per_s); "limit of an endpoint changed");
                 limits = true;
@@ -391,6 +440,7 @@
         CacheChange {
             kinds,
             quarantines,
+            crash_reports,
             limits,
         }
     }
@@ -526,13 +576,20 @@
     }
 }
 
-/// Returns the limit in an object; `None` if it was removed or can't be read.
-fn decode_limit(object: &replica::ReplicaObject) -> Option<limits::EndpointLimit> {
+/// Returns the content of an object of a kind that the store doesn't have; `None` if it was removed
+/// or can't be read.
+fn decode_own<T: serde::de::DeserializeOwned>(object: &replica::ReplicaObject) -> Option<T> {
     let decoded = postcard::from_bytes(object.spec.as_deref()?);
     decoded
         .inspect_err(|error| {
-            log::warn!(target: "sardinepaddle", endpoint = object.name, error:% = error;
-                "invalid limit of an endpoint skipped");
+            log::warn!(target: "sardinepaddle", kind = object.kind, name = object.name,
+                error:% = error; "invalid object of a daemon skipped");
         })
         .ok()
 }
+
+/// Returns the time for which a quarantine remains, ms; clocks of daemons may differ.
+fn remaining_ms(until_ms: u64, now_ms: u64) -> f64 {
+    let left_ms = until_ms.saturating_sub(now_ms) as f64;
+    left_ms.min(quarantine::QUARANTINE_MS)
+}
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -1,6 +1,7 @@
 //! The encoding of messages between daemons, also of those with an older build.
 
 use model::ids;
+use pool::health;
 use pool::job;
 use pool::replica;
 use sardinepaddle_gateway::message;
@@ -39,6 +40,7 @@
                 .iter()
                 .map(|part| ids::PartId::from_name(part))
                 .collect(),
+            digest: None,
             is_retry: false,
         },
     }
@@ -60,6 +62,48 @@
     assert_eq!(bytes, postcard::to_stdvec(&without).unwrap());
 }
 
+#[test]
+fn digests_of_requests_follow_the_shared_parts() {
+    let mut message = placement_request(&["1", "2"]);
+    if let PlacementMessage::PlacementRequest { request, .. } = &mut message {
+        request.digest = Some(ids::RequestDigest::of(&[b"a"]));
+    }
+    let bytes = message::encode(&message, 0).unwrap();
+    assert_eq!(message::decode(&bytes).unwrap(), (message, 0));
+    // How builds without digests decode: bytes after the parts are ignored.
+    let (_, rest) = postcard::take_from_bytes::<PlacementMessage>(&bytes).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<u64>(rest).unwrap();
+    let parts: Vec<Vec<ids::PartId>> = postcard::from_bytes(rest).unwrap();
+    assert_eq!(parts[0].len(), 2);
+}
+
+#[test]
+fn response_of_a_failed_attempt_follows_what_older_builds_read() {
+    let message = |responded| PlacementMessage::JobFinished {
+        job: job::JobId {
+            incarnation: 1,
+            number: 2,
+        },
+        outcome: job::JobOutcome {
+            signal: health::HealthSignal::Failed,
+            at_fault: None,
+            responded,
+        },
+    };
+    let bytes = message::encode(&message(true), 0).unwrap();
+    assert_eq!(message::decode(&bytes).unwrap(), (message(true), 0));
+    let (decoded, rest) = postcard::take_from_bytes::<PlacementMessage>(&bytes).unwrap();
+    assert_eq!(decoded, message(false));
+    let (_, rest) = postcard::take_from_bytes::<u64>(rest).unwrap();
+    assert!(
+        postcard::from_bytes::<Vec<Vec<ids::PartId>>>(rest)
+            .unwrap()
+            .is_empty()
+    );
+    let bytes = message::encode(&message(false), 0).unwrap();
+    assert_eq!(bytes, postcard::to_stdvec(&message(false)).unwrap());
+}
+
 #[test]
 fn builds_without_eras_read_messages_that_have_one() {
     let bytes = message::encode(&objects(), 3).unwrap();
--- a/crates/pool/benches/placement.rs
+++ b/crates/pool/benches/placement.rs
@@ -39,6 +39,7 @@
         priority: 1,
         excluded: Vec::new(),
         shared_parts: Vec::new(),
+        digest: None,
         is_retry: false,
     }
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::health;
+use crate::quarantine;
 
 /// Id of a job, which is one attempt to serve a request; unique over all incarnations of all
 /// daemons.
@@ -78,10 +79,23 @@
     /// without them can decode it.
     #[serde(skip)]
     pub shared_parts: Vec<ids::PartId>,
+    /// Digest of the request, sent likewise; `None` if the daemon doesn't know digests.
+    #[serde(skip)]
+    pub digest: Option<ids::RequestDigest>,
     /// Whether an earlier attempt was made, so that this one counts against the retry budget.
     pub is_retry: bool,
 }
 
+impl PlacementRequest {
+    /// Returns what the request has in common with others.
+    pub fn features(&self) -> quarantine::RequestFeatures {
+        quarantine::RequestFeatures {
+            parts: self.shared_parts.clone(),
+            digest: self.digest,
+        }
+    }
+}
+
 /// An endpoint of a plan.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlanMember {
@@ -124,7 +138,7 @@
     TooLarge,
     /// The retry budget is exhausted.
     RetryBudget,
-    /// Endpoints crash on prompts like this one.
+    /// Endpoints crash on requests like this one.
     Quarantined,
 }
 
@@ -136,7 +150,7 @@
             Self::Overloaded => "overloaded",
             Self::TooLarge => "too_large",
             Self::RetryBudget => "retry_budget",
-            Self::Quarantined => "prompt_quarantined",
+            Self::Quarantined => "request_quarantined",
         }
     }
 }
@@ -175,6 +189,10 @@
     pub signal: health::HealthSignal,
     /// The endpoint at fault, if it isn't the primary of the plan.
     pub at_fault: Option<ids::EndpointId>,
+    /// Whether the endpoint responded, so that it didn't crash on the request. Sent after the
+    /// message, so that older builds can decode it.
+    #[serde(skip)]
+    pub responded: bool,
 }
 
 impl From<health::HealthSignal> for JobOutcome {
@@ -183,6 +201,7 @@
         Self {
             signal,
             at_fault: None,
+            responded: false,
         }
     }
 }
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -155,6 +155,13 @@
         for state in self.endpoints.values_mut() {
             state.listed = false;
         }
+        for (id, state) in &self.endpoints {
+            let started_ms = state.live.started_ms;
+            let mut listed = listed.iter();
+            if !listed.any(|live| live.id == *id && live.started_ms == started_ms) {
+                self.crash_tracker.record_end(&(id.clone(), started_ms));
+            }
+        }
         for live in listed {
             let state = self.endpoints.entry(live.id.clone());
             let state = state.or_insert_with(|| state::EndpointState::new(live.clone()));
@@ -170,29 +177,43 @@
             .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
 
-    /// Replaces the quarantined parts, each given with the time for which it remains so, ms, and
-    /// declines the waiting requests that they concern.
-    pub fn set_quarantines(&mut self, now: f64, listed: &[(quarantine::PartQuarantine, f64)]) {
+    /// Replaces the quarantined causes, each given with the time for which it remains so, ms, zero
+    /// if that is over, and declines the waiting requests that they concern.
+    pub fn set_quarantines(&mut self, now: f64, listed: &[(quarantine::CrashCause, f64)]) {
         self.quarantines = quarantine::QuarantineList::new(now, listed);
-        let parts = self.quarantines.parts();
-        self.crash_tracker.set_quarantined(parts);
+        self.update_tracker();
         for waiting in std::mem::take(&mut self.waiting) {
-            match self
-                .quarantines
-                .remaining_ms(now, &waiting.request.shared_parts)
-            {
+            let features = waiting.request.features();
+            match self.quarantines.remaining_ms(now, &features) {
                 Some(left_ms) => self.decline_quarantined(waiting.job, left_ms),
                 None => self.waiting.push(waiting),
             }
         }
     }
 
-    /// Returns and clears the changes of the quarantined parts that have been decided here. They
+    fn update_tracker(&mut self) {
+        let ended = self.quarantines.ended().to_vec();
+        let causes = self.quarantines.causes();
+        self.crash_tracker.set_quarantined(causes, ended);
+    }
+
+    /// Returns and clears the changes of the quarantined causes that have been decided here. They
     /// take effect with [`Self::set_quarantines`].
     pub fn take_quarantine_changes(&mut self) -> Vec<crashes::QuarantineChange> {
         self.crash_tracker.take_changes()
     }
 
+    /// Returns what the placers that follow should know of crashes and has not been returned
+    /// before, each with the age of the crash, ms.
+    pub fn take_crash_reports(&mut self, now: f64) -> Vec<(f64, crashes::CrashReport)> {
+        self.crash_tracker.take_reports(now)
+    }
+
+    /// Adds what another placer reported on a crash that was `age_ms` ago.
+    pub fn merge_crash_report(&mut self, now: f64, age_ms: f64, report: &crashes::CrashReport) {
+        self.crash_tracker.merge_report(now, age_ms, report);
+    }
+
     /// Whether [`Self::tick`] has to be called soon, as requests wait or crashes are undecided.
     pub fn needs_tick(&self) -> bool {
         !self.waiting.is_empty() || self.crash_tracker.has_unsettled()
@@ -210,7 +231,7 @@
     /// request submitted again, over another connection, replaces the first.
     pub fn submit(&mut self, now: f64, job: job::JobId, request: job::PlacementRequest) {
         self.cancel(now, job);
-        if let Some(left_ms) = self.quarantines.remaining_ms(now, &request.shared_parts) {
+        if let Some(left_ms) = self.quarantines.remaining_ms(now, &request.features()) {
             self.decline_quarantined(job, left_ms);
             return;
         }
@@ -373,12 +394,19 @@
         match outcome.signal {
             health::HealthSignal::Success => {
                 tracker.record_response(now, &job.primary, job.placed_at);
-                tracker.record_sound(now, &job.shared_parts);
+                tracker.record_sound(now, &job.features);
+            }
+            _ if outcome.responded => {
+                tracker.record_response(now, &job.primary, job.placed_at);
+                tracker.record_sound(now, &job.features);
             }
             health::HealthSignal::Failed if outcome.at_fault.is_none() => {
                 let (placed_at, started_at) = (job.placed_at, job.started_at);
-                let parts = &job.shared_parts;
-                tracker.record_break(now, &job.primary, placed_at, started_at, parts);
+                let features = &job.features;
+                tracker.record_break(now, &job.primary, placed_at, started_at, features);
+            }
+            health::HealthSignal::Unreachable if outcome.at_fault.is_none() => {
+                tracker.record_end(&job.primary);
             }
             _ => {}
         }
@@ -387,21 +415,18 @@
     /// Ends quarantines whose time is over, and decides on crashes that all daemons have reported.
     fn settle_crashes(&mut self, now: f64) {
         if self.quarantines.expire(now) {
-            let parts = self.quarantines.parts();
-            self.crash_tracker.set_quarantined(parts);
+            self.update_tracker();
         }
         let jobs = &self.jobs;
-        let written_parts = || {
+        let written_features = || {
             let is_written = |job: &&state::PlacedJob| {
                 let started_at = job.started_at.unwrap_or(now);
                 now - started_at >= crashes::BEGIN_MS
             };
             let written = jobs.values().filter(is_written);
-            written
-                .flat_map(|job| job.shared_parts.iter().copied())
-                .collect()
+            written.flat_map(|job| job.features.iter()).collect()
         };
-        self.crash_tracker.tick(now, written_parts);
+        self.crash_tracker.tick(now, written_features);
     }
 
     /// Advances time to `now`, decides on waiting requests and removes expired jobs.
@@ -466,7 +491,7 @@
         };
         let min_gain = MIN_GAIN_SHARE * selectivity.max(0.0) * waiting.value;
         let scored_plan = match self.best_plan(now, waiting, min_gain) {
-            Ok(scored_plan) => scored_plan,
+            Ok(scored_plan) => scored_plan.filter(|_| !self.awaits_repeat(now, &waiting.request)),
             Err(reason) => {
                 self.decline(waiting.job, reason);
                 return true;
@@ -490,6 +515,25 @@
         unservable
     }
 
+    /// Whether a request may crash endpoints, and an identical one still has to show whether it does.
+    fn awaits_repeat(&self, now: f64, request: &job::PlacementRequest) -> bool {
+        let Some(digest) = request.digest else {
+            return false;
+        };
+        let tracker = &self.crash_tracker;
+        if !tracker.is_suspected(digest) && !self.quarantines.has_ended(now, digest) {
+            return false;
+        }
+        if tracker.is_in_unsettled_crash(digest) {
+            return true;
+        }
+        let is_undecided = |job: &state::PlacedJob| {
+            let started_at = job.started_at.unwrap_or(now);
+            job.features.digest == Some(digest) && now - started_at < crashes::BEGIN_MS
+        };
+        self.jobs.values().any(is_undecided)
+    }
+
     /// Returns the time from which the limits let one of the endpoints that a request may run on
     /// get it, ms.
     fn next_turn_at(&self, request: &job::PlacementRequest) -> f64 {
@@ -792,7 +836,7 @@
             abandon_after_ms: request.abandon_after_ms,
             primary: self.primary_incarnation(&usages),
             members: usages,
-            shared_parts: request.shared_parts.clone(),
+            features: request.features(),
         };
         self.jobs.insert(waiting.job, job);
         self.update_predictions(now, waiting.job);
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -9,6 +9,7 @@
 use crate::health;
 use crate::job;
 use crate::passes;
+use crate::quarantine;
 use crate::risk;
 use crate::slowdown;
 
@@ -77,8 +78,8 @@
     pub members: Vec<MemberUsage>,
     /// Incarnation of the endpoint that generates the response.
     pub primary: crashes::EndpointIncarnation,
-    /// Parts of the prompt that other prompts may share.
-    pub shared_parts: Vec<ids::PartId>,
+    /// What it has in common with other requests.
+    pub features: quarantine::RequestFeatures,
 }
 
 /// A request that has not been placed yet.
--- a/crates/pool/tests/support/placers.rs
+++ b/crates/pool/tests/support/placers.rs
@@ -66,6 +66,7 @@
         priority: 1,
         excluded: Vec::new(),
         shared_parts: Vec::new(),
+        digest: None,
         is_retry: false,
     }
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -315,6 +315,7 @@
             priority: 1,
             excluded: Vec::new(),
             shared_parts: Vec::new(),
+            digest: None,
             is_retry: false,
         };
         self.placer.submit(now, Self::job(index), placement_request);
@@ -451,6 +452,7 @@
                 false => health::HealthSignal::Inconclusive,
             },
             at_fault: None,
+            responded: false,
         };
         self.placer.end(now, Self::job(index), &job_outcome);
     }
