Log and gauge: no endpoint can be reached from this host

The log named single endpoints that could not be reached, so a host without a path to any could not be told from endpoints that had failed. After a failed connection up to three other endpoints are tried, and one at an interval while none can be reached. Nothing is decided on it yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod logs;
 mod metrics;
 mod monitoring;
+mod reach;
 mod relay;
 mod request;
 mod reservations;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     config_version: api::Gauge<u64>,
     store_era: api::Gauge<u64>,
     quarantines: api::Gauge<u64>,
+    cut_off: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
     log_lines_dropped: api::Gauge<u64>,
 }
@@ -72,6 +73,10 @@
                 "store_era",
                 "Times that the store came back from an older copy",
             ),
+            cut_off: gauge(
+                "endpoints_unreachable",
+                "1 while no endpoint can be reached from this host",
+            ),
             quarantines: gauge(
                 "quarantined_prompt_parts",
                 "Combinations of prompt parts that are declined as endpoints crash on them",
@@ -154,7 +159,12 @@
         self.store_era.record(era, &[]);
     }
 
-    /// Records the number of quarantined combinations of prompt parts.
+    /// Records whether no endpoint can be reached from this host.
+    pub fn cut_off(&self, cut_off: bool) {
+        self.cut_off.record(u64::from(cut_off), &[]);
+    }
+
+    /// Records the number of quarantined causes of crashes.
     pub fn quarantines(&self, count: usize) {
         self.quarantines.record(count as u64, &[]);
     }
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,117 @@
+//! Finds out whether this daemon is cut off from all endpoints.
+//!
+//! An endpoint that can't be reached may have failed, or the path from this host may have: only
+//! other endpoints tell which. While none can be reached, one is tried at an interval.
+
+use std::cell;
+use std::pin;
+use std::rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use model::ids;
+use model::serving;
+use rand::seq::IndexedRandom;
+use tokio::task;
+use tokio::time;
+
+use crate::sockets;
+use crate::state;
+use crate::upstream;
+
+/// Number of other endpoints that are tried if one can't be reached.
+const OTHER_ENDPOINTS: usize = 3;
+/// Time since the last connection to an endpoint in which the daemon isn't cut off, ms: a few
+/// requests of one client may come in it.
+const RECENT_MS: f64 = 100.0;
+/// Interval at which an endpoint is tried while none can be reached.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+
+/// What is known of the path to the endpoints.
+#[derive(Debug)]
+pub(crate) struct EndpointReach {
+    /// Time of the last connection to an endpoint, ms.
+    connected_at: cell::Cell<f64>,
+    cut_off: cell::Cell<bool>,
+}
+
+impl Default for EndpointReach {
+    fn default() -> Self {
+        Self {
+            connected_at: cell::Cell::new(f64::NEG_INFINITY),
+            cut_off: cell::Cell::new(false),
+        }
+    }
+}
+
+impl EndpointReach {
+    /// Whether no endpoint could be reached when that was last tried.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off.get()
+    }
+
+    /// Records a new connection to an endpoint.
+    pub fn record_connected(&self, now: f64) {
+        self.connected_at.set(now);
+        if self.cut_off.replace(false) {
+            log::info!(target: "sardinepaddle", "endpoints reachable again");
+        }
+    }
+}
+
+/// Finds out whether this daemon is cut off, after it couldn't connect to an endpoint.
+pub(crate) async fn check(state: &rc::Rc<state::DaemonState>, failed: &ids::EndpointId) -> bool {
+    let reach = &state.reach;
+    if reach.is_cut_off() {
+        return true;
+    }
+    if state.now() - reach.connected_at.get() < RECENT_MS {
+        return false;
+    }
+    let started_at = state.now();
+    let others = others(state, failed);
+    if others.is_empty() || reaches_any(state, &others).await {
+        return false;
+    }
+    // A request may have connected in the meantime.
+    if reach.connected_at.get() >= started_at || reach.cut_off.replace(true) {
+        return reach.is_cut_off();
+    }
+    log::warn!(target: "sardinepaddle", endpoint:% = failed, others = others.len();
+        "no endpoint reachable from this host");
+    task::spawn_local(probe(state.clone()));
+    true
+}
+
+/// Returns some endpoints that accept requests, apart from one.
+fn others(state: &state::DaemonState, failed: &ids::EndpointId) -> Vec<serving::LiveEndpoint> {
+    let cache = state.cache();
+    let endpoints = cache.endpoints();
+    let others: Vec<_> = endpoints.iter().filter(|live| live.id != *failed).collect();
+    let chosen = others.choose_multiple(&mut rand::rng(), OTHER_ENDPOINTS);
+    chosen.map(|live| (*live).clone()).collect()
+}
+
+async fn reaches_any(state: &state::DaemonState, endpoints: &[serving::LiveEndpoint]) -> bool {
+    let attempts: stream::FuturesUnordered<_> = endpoints
+        .iter()
+        .map(|live| sockets::dial(live.address, upstream::CONNECT_TIMEOUT))
+        .collect();
+    let mut connected = pin::pin!(attempts.filter_map(async |stream| stream.ok()));
+    let is_connected = connected.next().await.is_some();
+    if is_connected {
+        state.reach.record_connected(state.now());
+    }
+    is_connected
+}
+
+/// Tries one endpoint after the other until one can be reached.
+async fn probe(state: rc::Rc<state::DaemonState>) {
+    while state.reach.is_cut_off() {
+        time::sleep(PROBE_PERIOD).await;
+        let endpoints = state.cache().endpoints();
+        let chosen = endpoints.choose(&mut rand::rng());
+        reaches_any(&state, chosen.map(std::slice::from_ref).unwrap_or_default()).await;
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,8 +17,10 @@
 use pool::job;
 use pool::quarantine;
 use pool::routes;
+use tokio::task;
 use tokio::time;
 
+use crate::reach;
 use crate::reservations;
 use crate::response;
 use crate::state;
@@ -482,7 +484,14 @@
                 let checked = self.check_response(response, &plan, reused).await;
                 checked.map(|parts| (connection, keep_alive, parts))
             }
-            Err(error) => Err(self.exchange_error(&plan, &error)),
+            Err(error) => {
+                if matches!(error, upstream::UpstreamError::Connect(_)) {
+                    let state = self.request.state.clone();
+                    let endpoint = plan.primary.endpoint.clone();
+                    task::spawn_local(async move { reach::check(&state, &endpoint).await });
+                }
+                Err(self.exchange_error(&plan, &error))
+            }
         };
         match checked {
             Ok((connection, keep_alive, (status, headers, body))) => Ok(EndpointResponse {
@@ -895,7 +904,12 @@
     loop {
         let connected = request.upstreams.connect(primary.address, force_new).await;
         let mut connection = match (connected, first_error.take()) {
-            (Ok(connection), _) => connection,
+            (Ok(connection), _) => {
+                if !connection.is_reused() {
+                    request.state.reach.record_connected(request.state.now());
+                }
+                connection
+            }
             // The endpoint may have run the request and ended on it.
             (Err(_), Some(first_error)) => return Err(first_error),
             (Err(error), None) => return Err(error),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use crate::logs;
 use crate::message;
 use crate::metrics;
+use crate::reach;
 use crate::store_cache;
 
 /// Time after SIGTERM during which every new request is accepted, ms; the load balancer has noticed
@@ -104,6 +105,8 @@
     quiet_periods: cell::RefCell<quiet::QuietPeriods>,
     /// When the current limit of each endpoint became known, ms.
     limits_known_since: cell::RefCell<map::HashMap<ids::EndpointId, f64>>,
+    /// Path to the endpoints.
+    pub reach: reach::EndpointReach,
     /// Quarantined causes of crashes.
     quarantines: cell::RefCell<quarantine::QuarantineList>,
     /// Time of the shutdown request, ms.
@@ -157,6 +160,7 @@
             era_changes: watch::Sender::new(0),
             quiet_periods: cell::RefCell::default(),
             limits_known_since: cell::RefCell::default(),
+            reach: reach::EndpointReach::default(),
             quarantines: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
             unreachable_kinds: cell::RefCell::default(),
@@ -620,6 +624,7 @@
             .record_gauges(self.data_age().min(1e9), version, waiting, dropped);
         self.metrics.store_era(self.store_era());
         self.metrics.quarantines(self.quarantines.borrow().len());
+        self.metrics.cut_off(self.reach.is_cut_off());
     }
 
     /// Returns a receiver that is notified of changes of the replica.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,7 +17,7 @@
 use crate::sockets;
 
 /// Timeout of a connection to an endpoint; one that takes longer is dead or cut off.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 8;
 /// Time for which a connection stays idle if the endpoint names no limit.
