Forward requests to other daemons while no endpoint can be reached

Callers of hosts that had lost their path to all endpoints got 503 or 502 after 400 ms and more, although the other hosts served all. Such a daemon went on to try the endpoints itself, one connection timeout after the other, used up the retry budget, and told the placer that the endpoints were unreachable. The class: a lost path of the observer judged as a failure of the observed.

A daemon that reaches neither the endpoint of an attempt nor up to three others forwards the request to the callers address of another daemon, which handles it like one of a client. What its own attempts show then no longer counts for the health of endpoints.

--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -11,7 +11,6 @@
 use serde_json::json;
 
 use crate::support;
-use crate::support::KEY;
 use crate::support::RunningDaemon;
 
 /// Time from the start of a cut after which requests are to be served; set by the users' rules.
@@ -61,6 +60,9 @@
         }
         let daemon = RunningDaemon::start(&own_store, "h3");
         daemon.wait_ready();
+        let entry = json!({"host": "h3", "centre": "a", "cpu_millis": 100,
+            "address": fleet::free_address().to_string(), "callers": daemon.clients.to_string()});
+        store.put("sardinepaddle-daemons", "h3", entry);
         Self {
             endpoints,
             others,
@@ -126,10 +128,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_whose_connections_to_all_endpoints_are_refused_serves_its_clients() {
-    let deployment = CutDeployment::start(async |_: &[FakeEndpoint]| {
-        (0..ENDPOINTS).map(|_| fleet::free_address()).collect()
-    });
-    let deployment = deployment.await;
+    let deployment = CutDeployment::start(closed_addresses).await;
     assert_served(&deployment, "in the cut");
 }
 
@@ -147,6 +146,79 @@
     assert_served(&deployment, "in the cut");
 }
 
+/// Returns addresses at which no endpoint listens.
+async fn closed_addresses(_: &[FakeEndpoint]) -> Vec<net::SocketAddr> {
+    (0..ENDPOINTS).map(|_| fleet::free_address()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_request_reaches_its_endpoint_like_that_of_a_client() {
+    let deployment = CutDeployment::start(closed_addresses).await;
+    let response = deployment.daemon.call("POST /once/a?b=c HTTP/1.1", "r1");
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(response.head.contains("x-runner-signature"));
+    let received = deployment.endpoints.iter().flat_map(FakeEndpoint::requests);
+    let [received] = received.collect::<Vec<_>>().try_into().unwrap();
+    assert_eq!(received.request_line, "POST /once/a?b=c");
+    assert_eq!(received.headers["x-attempt-id"], "r1");
+    assert_eq!(received.headers["x-tenant"], "customer-1");
+    let remaining_ms: u64 = received.headers["x-deadline-ms"].parse().unwrap();
+    assert!(remaining_ms < 8_000, "{remaining_ms}");
+    for name in ["authorization", "x-sardinepaddle-runs"] {
+        assert!(!received.headers.contains_key(name), "{name}");
+    }
+    // Keys and routes are checked before the request is forwarded.
+    let bad_key = ["X-Attempt-Id: r2", "Authorization: Bearer other"];
+    let clients = deployment.daemon.clients;
+    let response = support::send_request(clients, "GET /safe/ HTTP/1.1", &bad_key);
+    assert_eq!(response.status, 401, "{response:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_stream_goes_on_when_the_daemon_that_it_was_forwarded_to_ends() {
+    let mut deployment = CutDeployment::start(closed_addresses).await;
+    let script = EndpointScript::Pause {
+        after: 2,
+        pause_ms: 1_000,
+        last: LAST_EVENT,
+    };
+    for endpoint in &deployment.endpoints {
+        endpoint.set_script(script);
+    }
+    let (daemon, others) = (&deployment.daemon, &mut deployment.others);
+    let response = std::thread::scope(|scope| {
+        let response = scope.spawn(|| daemon.call("POST /stream/ HTTP/1.1", "r1"));
+        let is_forwarded = |other: &RunningDaemon| other.log().contains("first event");
+        RunningDaemon::wait_for("the first event", || others.iter().any(is_forwarded));
+        let position = others.iter().position(is_forwarded).unwrap();
+        others[position].process.kill();
+        response.join().unwrap()
+    });
+    assert_eq!((response.status, response.is_complete), (200, true));
+    let events: String = (1..=LAST_EVENT)
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect();
+    assert_eq!(response.body, events);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_at_once_when_all_daemons_are_cut_off() {
+    let mut deployment = CutDeployment::start(closed_addresses).await;
+    for other in &mut deployment.others {
+        other.process.kill();
+    }
+    deployment.daemon.call("GET /safe/ HTTP/1.1", "r1");
+    let started_at = std::time::Instant::now();
+    let response = deployment.daemon.call("POST /once/ HTTP/1.1", "r2");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(
+        response.body.contains("endpoints_unreachable"),
+        "{response:?}"
+    );
+    assert!(response.head.contains("retry-after"), "{response:?}");
+    assert!(started_at.elapsed() < Duration::from_millis(500));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_serves_its_clients_while_it_is_cut_off_from_all_endpoints_and_afterwards() {
     let links = std::cell::RefCell::new(Vec::new());
@@ -168,11 +240,10 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     assert_served(&deployment, "in the cut");
-    let served_by_others = |deployment: &CutDeployment| {
+    RunningDaemon::wait_for("the log of the others", || {
         let mut others = deployment.others.iter();
         others.any(|other| other.log().contains("request forwarded by another daemon"))
-    };
-    assert!(served_by_others(&deployment));
+    });
     connect(&deployment.endpoints).await;
     RunningDaemon::wait_for("the end of the cut", || {
         deployment
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,6 +1,7 @@
 //! HTTP server for client requests.
 
 use std::convert;
+use std::net;
 use std::rc;
 
 use http_body_util::BodyExt;
@@ -16,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::forward;
 use crate::relay;
 use crate::request;
 use crate::response;
@@ -60,10 +62,12 @@
 
 async fn serve(context: FrontendContext, stream: tokio::net::TcpStream) {
     let limits = context.state.index().config().limits.clone();
+    let client = stream.peer_addr().map(|address| address.ip());
+    let client = client.unwrap_or(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED));
     let mut closing = context.closing.clone();
     let service = hyper::service::service_fn(move |incoming| {
         let context = context.clone();
-        async move { Ok::<_, convert::Infallible>(handle(context, incoming).await) }
+        async move { Ok::<_, convert::Infallible>(handle(context, client, incoming).await) }
     });
     // The library measures the header timeout from the end of the previous response, so it includes
     // the idle time.
@@ -84,13 +88,22 @@
 
 async fn handle(
     context: FrontendContext,
+    client: net::IpAddr,
     incoming: http::Request<Incoming>,
 ) -> http::Response<response::ResponseBody> {
-    let is_shutting_down = context.state.is_shutting_down();
-    let mut response = match read_request(&context, incoming).await {
+    let state = context.state.clone();
+    let is_shutting_down = state.is_shutting_down();
+    let is_forwarded =
+        headers::is_forwarded(incoming.headers()) && forward::is_daemon(&state, client);
+    let mut response = match read_request(&context, is_forwarded, incoming).await {
         Ok(request) => relay::respond(request::RequestRunner::new(request)).await,
         Err(response) => response::local(response),
     };
+    let can_serve = state.is_ready() && !state.reach.is_cut_off();
+    let is_refused = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    if is_forwarded && is_refused && !can_serve {
+        headers::mark_forward_refused(response.headers_mut());
+    }
     if is_shutting_down {
         let close = http::HeaderValue::from_static("close");
         response
@@ -120,12 +133,18 @@
 /// Reads a complete request and finds its route.
 async fn read_request(
     context: &FrontendContext,
+    is_forwarded: bool,
     incoming: http::Request<Incoming>,
 ) -> Result<request::ClientRequest, response::LocalResponse> {
     let state = context.state.clone();
     let arrived_at = state.now();
     let (parts, body) = incoming.into_parts();
-    let hints = headers::parse_hints(&parts.headers);
+    let mut hints = headers::parse_hints(&parts.headers);
+    hints.forwarded_runs = hints.forwarded_runs.filter(|_| is_forwarded);
+    if let Some(runs) = hints.forwarded_runs {
+        log::info!(target: "sardinepaddle", request = hints.attempt_id, runs;
+            "request forwarded by another daemon");
+    }
     let refuse = |response: response::LocalResponse| {
         log::info!(target: "sardinepaddle", request = hints.attempt_id, reason = response.reason(),
             path = parts.uri.path(), version = state.index().config().version,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod sse;
 
 mod clock;
+mod forward;
 mod frontend;
 mod links;
 mod logs;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -34,6 +34,9 @@
     /// Time of the last connection to an endpoint, ms.
     connected_at: cell::Cell<f64>,
     cut_off: cell::Cell<bool>,
+    /// Whether [`check`] is trying other endpoints.
+    checking: cell::Cell<bool>,
+    checked: tokio::sync::Notify,
 }
 
 impl Default for EndpointReach {
@@ -41,6 +44,8 @@
         Self {
             connected_at: cell::Cell::new(f64::NEG_INFINITY),
             cut_off: cell::Cell::new(false),
+            checking: cell::Cell::new(false),
+            checked: tokio::sync::Notify::new(),
         }
     }
 }
@@ -60,28 +65,38 @@
     }
 }
 
-/// Finds out whether this daemon is cut off, after it couldn't connect to an endpoint.
-pub(crate) async fn check(state: &rc::Rc<state::DaemonState>, failed: &ids::EndpointId) -> bool {
+/// Finds out whether this daemon is cut off, after an endpoint did not respond.
+pub(crate) async fn check(state: &rc::Rc<state::DaemonState>, failed: &ids::EndpointId) {
     let reach = &state.reach;
-    if reach.is_cut_off() {
-        return true;
+    if reach.is_cut_off() || state.now() - reach.connected_at.get() < RECENT_MS {
+        return;
     }
-    if state.now() - reach.connected_at.get() < RECENT_MS {
-        return false;
+    if reach.checking.replace(true) {
+        reach.checked.notified().await;
+        return;
     }
+    let _guard = CheckGuard(state.clone());
     let started_at = state.now();
     let others = others(state, failed);
     if others.is_empty() || reaches_any(state, &others).await {
-        return false;
+        return;
     }
     // A request may have connected in the meantime.
-    if reach.connected_at.get() >= started_at || reach.cut_off.replace(true) {
-        return reach.is_cut_off();
+    if reach.connected_at.get() < started_at && !reach.cut_off.replace(true) {
+        log::warn!(target: "sardinepaddle", endpoint:% = failed, others = others.len();
+            "no endpoint reachable from this host");
+        task::spawn_local(probe(state.clone()));
+    }
+}
+
+/// Ends a check, also if its request is dropped first.
+struct CheckGuard(rc::Rc<state::DaemonState>);
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.0.reach.checking.set(false);
+        self.0.reach.checked.notify_waiters();
     }
-    log::warn!(target: "sardinepaddle", endpoint:% = failed, others = others.len();
-        "no endpoint reachable from this host");
-    task::spawn_local(probe(state.clone()));
-    true
 }
 
 /// Returns some endpoints that accept requests, apart from one.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,6 +20,7 @@
 use tokio::task;
 use tokio::time;
 
+use crate::forward;
 use crate::reach;
 use crate::reservations;
 use crate::response;
@@ -96,7 +97,8 @@
     }
 }
 
-/// A placement held for an attempt. Cancelled on drop unless it has ended.
+/// A placement held for an attempt. Cancelled on drop unless it has ended; forwarded requests have
+/// none.
 pub(crate) struct JobLease {
     state: rc::Rc<state::DaemonState>,
     pub job: job::JobId,
@@ -104,8 +106,14 @@
 }
 
 impl JobLease {
-    fn end(&mut self, outcome: job::JobOutcome) {
-        self.ended = true;
+    fn end(&mut self, mut outcome: job::JobOutcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        if self.state.reach.is_cut_off() && outcome.signal != health::HealthSignal::Success {
+            // It shows nothing about the endpoint, which others may reach.
+            outcome.signal = health::HealthSignal::Inconclusive;
+        }
         self.state.finish_job(self.job, outcome);
     }
 }
@@ -229,20 +237,24 @@
     failure: Option<EndpointFailure>,
     /// An exchange without a response so far, kept until another one responds.
     stalled: Option<SentRequest>,
+    /// Whether another daemon handles the current attempt, with its retries.
+    is_forwarded: bool,
 }
 
 impl RequestRunner {
     pub fn new(request: ClientRequest) -> Self {
+        let runs = request.hints.forwarded_runs.unwrap_or_default();
         Self {
             last_event: request.hints.last_event_id,
             request: rc::Rc::new(request),
-            attempts: 0,
+            attempts: runs,
             unsent: 0,
-            possible_runs: 0,
-            may_have_run: false,
+            possible_runs: runs,
+            may_have_run: runs > 0,
             excluded: Vec::new(),
             failure: None,
             stalled: None,
+            is_forwarded: false,
         }
     }
 
@@ -334,7 +346,8 @@
     /// Whether another endpoint may be tried while one is stalled.
     fn may_retry(&self) -> bool {
         let route = &self.request.route_match.route;
-        route.retry_safety.is_retryable() && self.possible_runs + 1 < route.max_attempts
+        let may_run_again = self.possible_runs + 1 < route.max_attempts;
+        route.retry_safety.is_retryable() && may_run_again && !self.is_forwarded
     }
 
     /// Returns how long to wait for the first event, ms.
@@ -370,9 +383,20 @@
             state,
             ended: false,
         };
-        let sent = match self.place(lease.job).await {
-            Ok(plan) => self.send(lease, plan).await,
-            Err(error) => Err(error),
+        self.is_forwarded = lease.state.reach.is_cut_off();
+        let sent = if self.is_forwarded {
+            match self.forward().await {
+                Ok(response) => {
+                    self.stalled = None;
+                    return Ok(response);
+                }
+                Err(error) => Err(error),
+            }
+        } else {
+            match self.place(lease.job).await {
+                Ok(plan) => self.send(lease, plan).await,
+                Err(error) => Err(error),
+            }
         };
         match (sent, self.stalled.take()) {
             (Ok(sent), stalled) => self.await_first(sent, stalled).await,
@@ -389,6 +413,106 @@
         }
     }
 
+    /// Forwards the request to another daemon, as this one reaches no endpoint.
+    async fn forward(&self) -> Result<EndpointResponse, AttemptError> {
+        let request = &self.request;
+        if let Some(error) = self.quarantined_error() {
+            return Err(error);
+        }
+        let no_target = AttemptError::declined(response::LocalResponse::NotRun {
+            reason: "endpoints_unreachable",
+            retry_after_ms: REFUSED_RETRY_AFTER_MS,
+        });
+        if request.hints.forwarded_runs.is_some() {
+            return Err(no_target);
+        }
+        let remaining = millis::to_duration(request.remaining_ms());
+        let forwarded = forward::forward(request, self.last_event, self.possible_runs);
+        match time::timeout(remaining, forwarded).await {
+            Ok(forward::ForwardOutcome::Responded(response)) => {
+                self.accept_forwarded(*response).await
+            }
+            Ok(forward::ForwardOutcome::NoTarget) => Err(no_target),
+            Ok(forward::ForwardOutcome::Broken) => Err(AttemptError::may_have_run(
+                health::HealthSignal::Inconclusive,
+                "daemon_lost",
+            )),
+            Err(_) => Err(AttemptError::may_have_run(
+                health::HealthSignal::Inconclusive,
+                "no_answer_in_time",
+            )),
+        }
+    }
+
+    /// Converts the response of the daemon to which the request was forwarded. Its failures are
+    /// final, as it has made the attempts that the request may have.
+    async fn accept_forwarded(
+        &self,
+        forwarded: forward::ForwardedResponse,
+    ) -> Result<EndpointResponse, AttemptError> {
+        let request = &self.request;
+        let state = &request.state;
+        let (parts, body) = forwarded.response.into_parts();
+        let marks = headers::parse_marks(parts.status, &parts.headers);
+        if !parts.status.is_success() {
+            let failure = self.read_failure(parts, body).await;
+            // The other daemon doesn't know what this one has sent.
+            let failure = failure.filter(|_| !(self.may_have_run && marks.implies_not_run));
+            return Err(AttemptError {
+                failure,
+                ..AttemptError::declined(response::LocalResponse::NotRun {
+                    reason: "forwarded_refused",
+                    retry_after_ms: REFUSED_RETRY_AFTER_MS,
+                })
+            });
+        }
+        let is_own = marks.attempt_id.as_deref() == Some(request.hints.attempt_id.as_str());
+        if !is_own || !marks.signed || marks.encoded {
+            return Err(AttemptError::may_have_run(
+                health::HealthSignal::Inconclusive,
+                "unsound_answer",
+            ));
+        }
+        let lease = JobLease {
+            state: state.clone(),
+            job: state.next_job_id(),
+            ended: true,
+        };
+        let memory = reservations::MemoryLease::none(state, &request.upstreams);
+        Ok(EndpointResponse {
+            attempt: ActiveAttempt {
+                lease,
+                _memory: memory,
+                connection: forwarded.connection,
+                plan: forwarded.plan,
+                placed_at: state.now(),
+                keep_alive: upstream::keep_alive_timeout(&parts.headers),
+            },
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    /// Reads a failure response, unless it is too large or breaks off.
+    async fn read_failure(
+        &self,
+        parts: http::response::Parts,
+        body: Incoming,
+    ) -> Option<EndpointFailure> {
+        let limited = http_body_util::Limited::new(body, MAX_FAILURE_BODY_BYTES);
+        let remaining = millis::to_duration(self.request.remaining_ms());
+        let collected = time::timeout(remaining, limited.collect())
+            .await
+            .ok()?
+            .ok()?;
+        Some(EndpointFailure {
+            status: parts.status,
+            headers: parts.headers,
+            body: collected.to_bytes(),
+        })
+    }
+
     /// Waits for whichever of two exchanges succeeds first; the other one is dropped, which closes
     /// its connection. If neither responds in time, `sent` becomes the stalled one and the earlier
     /// one is dropped.
@@ -436,6 +560,9 @@
                     }
                 }
                 () = &mut limit => {
+                    let state = self.request.state.clone();
+                    let endpoint = sent.plan.primary.endpoint.clone();
+                    task::spawn_local(async move { reach::check(&state, &endpoint).await });
                     self.excluded.push(sent.plan.primary.endpoint.clone());
                     self.stalled = Some(sent);
                     return Err(AttemptError::may_have_run(
@@ -485,11 +612,7 @@
                 checked.map(|parts| (connection, keep_alive, parts))
             }
             Err(error) => {
-                if matches!(error, upstream::UpstreamError::Connect(_)) {
-                    let state = self.request.state.clone();
-                    let endpoint = plan.primary.endpoint.clone();
-                    task::spawn_local(async move { reach::check(&state, &endpoint).await });
-                }
+                reach::check(&self.request.state, &plan.primary.endpoint).await;
                 Err(self.exchange_error(&plan, &error))
             }
         };
@@ -836,21 +959,10 @@
         if parts.status.is_client_error() {
             error.signal = health::HealthSignal::Inconclusive;
         }
-        let limited = http_body_util::Limited::new(body, MAX_FAILURE_BODY_BYTES);
-        let body_result = time::timeout(
-            millis::to_duration(self.request.remaining_ms()),
-            limited.collect(),
-        )
-        .await;
-        if let Ok(Ok(collected)) = body_result {
-            // Clients read this status as a guarantee that the request has not run, so it is not
-            // forwarded without the endpoint's confirmation.
-            error.failure = (!marks.implies_not_run).then(|| EndpointFailure {
-                status: parts.status,
-                headers: parts.headers,
-                body: collected.to_bytes(),
-            });
-        }
+        // Clients read some statuses as a guarantee that the request has not run, so these are not
+        // forwarded without the endpoint's confirmation.
+        let failure = self.read_failure(parts, body).await;
+        error.failure = failure.filter(|_| !marks.implies_not_run);
         Err(error)
     }
 }
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -63,12 +63,7 @@
         job: job::JobId,
         helpers: &[job::PlanMember],
     ) -> Result<Self, ids::EndpointId> {
-        let mut lease = Self {
-            state: state.clone(),
-            upstreams: upstreams.clone(),
-            reservations: Vec::new(),
-            renewal: None,
-        };
+        let mut lease = Self::none(state, upstreams);
         for helper in helpers.iter().filter(|helper| helper.reserve_tokens > 0) {
             let reservation = MemoryReservation {
                 target: OrderTarget {
@@ -98,6 +93,19 @@
         Ok(lease)
     }
 
+    /// Returns a lease of no memory.
+    pub fn none(
+        state: &rc::Rc<state::DaemonState>,
+        upstreams: &rc::Rc<upstream::UpstreamPool>,
+    ) -> Self {
+        Self {
+            state: state.clone(),
+            upstreams: upstreams.clone(),
+            reservations: Vec::new(),
+            renewal: None,
+        }
+    }
+
     /// Whether no memory is reserved.
     pub fn is_empty(&self) -> bool {
         self.reservations.is_empty()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -81,6 +81,7 @@
         host: settings.host.clone(),
         centre: settings.data_centre.clone(),
         address: settings.listen.peers,
+        callers: Some(settings.listen.callers),
         cpu_millis: (settings.cpu_share * 1_000.0) as u32,
     };
     let entry = serde_json::to_string(&entry).map_err(RunError::Entry)?;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,6 +1,7 @@
 //! Opens, accepts and configures connections.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,7 +33,28 @@
 
 /// Opens a connection within a time limit.
 pub(crate) async fn dial(address: SocketAddr, limit: Duration) -> io::Result<net::TcpStream> {
-    let stream = time::timeout(limit, net::TcpStream::connect(address)).await;
+    within(limit, net::TcpStream::connect(address)).await
+}
+
+/// Opens a connection from an address of this host within a time limit.
+pub(crate) async fn dial_from(
+    source: IpAddr,
+    address: SocketAddr,
+    limit: Duration,
+) -> io::Result<net::TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => net::TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => net::TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    within(limit, socket.connect(address)).await
+}
+
+async fn within(
+    limit: Duration,
+    connecting: impl Future<Output = io::Result<net::TcpStream>>,
+) -> io::Result<net::TcpStream> {
+    let stream = time::timeout(limit, connecting).await;
     stream.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "timed out"))?
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 
 use crate::clock;
 use crate::followers;
+use crate::forward;
 use crate::logs;
 use crate::message;
 use crate::metrics;
@@ -105,6 +106,8 @@
     quiet_periods: cell::RefCell<quiet::QuietPeriods>,
     /// When the current limit of each endpoint became known, ms.
     limits_known_since: cell::RefCell<map::HashMap<ids::EndpointId, f64>>,
+    /// Daemons to which requests can be forwarded.
+    pub forward_targets: forward::ForwardTargets,
     /// Path to the endpoints.
     pub reach: reach::EndpointReach,
     /// Quarantined causes of crashes.
@@ -160,6 +163,7 @@
             era_changes: watch::Sender::new(0),
             quiet_periods: cell::RefCell::default(),
             limits_known_since: cell::RefCell::default(),
+            forward_targets: forward::ForwardTargets::default(),
             reach: reach::EndpointReach::default(),
             quarantines: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Pooled connections to endpoints.
 
 use std::cell;
+use std::io;
 use std::net;
 use std::time::Duration;
 
@@ -100,7 +101,25 @@
         let reused = if force_new { None } else { self.take(address) };
         match reused {
             Some(connection) => Ok(connection),
-            None => dial(address).await,
+            None => start(address, sockets::dial(address, CONNECT_TIMEOUT)).await,
+        }
+    }
+
+    /// Returns a connection to another daemon likewise, a new one from an address of this host by
+    /// which that daemon knows it.
+    pub async fn connect_to_daemon(
+        &self,
+        source: net::IpAddr,
+        address: net::SocketAddr,
+        force_new: bool,
+    ) -> Result<UpstreamConnection> {
+        let reused = if force_new { None } else { self.take(address) };
+        match reused {
+            Some(connection) => Ok(connection),
+            None => {
+                let dialing = sockets::dial_from(source, address, CONNECT_TIMEOUT);
+                start(address, dialing).await
+            }
         }
     }
 
@@ -149,10 +168,12 @@
     }
 }
 
-async fn dial(address: net::SocketAddr) -> Result<UpstreamConnection> {
+async fn start(
+    address: net::SocketAddr,
+    dialing: impl Future<Output = io::Result<tokio::net::TcpStream>>,
+) -> Result<UpstreamConnection> {
     let failed = |error: String| UpstreamError::Connect(error);
-    let stream = sockets::dial(address, CONNECT_TIMEOUT).await;
-    let stream = stream.map_err(|error| failed(error.to_string()))?;
+    let stream = dialing.await.map_err(|error| failed(error.to_string()))?;
     sockets::tune(&stream).map_err(|error| failed(error.to_string()))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
--- a/crates/model/src/serving.rs
+++ b/crates/model/src/serving.rs
@@ -199,6 +199,9 @@
     pub centre: ids::CentreId,
     /// Address for connections from other daemons.
     pub address: net::SocketAddr,
+    /// Address for requests, also those that other daemons forward; `None` if its build takes none.
+    #[serde(default)]
+    pub callers: Option<net::SocketAddr>,
     /// Processor time available to the daemon, in thousandths of a core.
     pub cpu_millis: u32,
 }
--- a/crates/pool/tests/rank.rs
+++ b/crates/pool/tests/rank.rs
@@ -9,6 +9,7 @@
         host: ids::HostId::new(host),
         centre: ids::CentreId::new(centre),
         address: "127.0.0.1:7000".parse().unwrap(),
+        callers: None,
         cpu_millis,
     }
 }
