Keep connections to endpoints that are silent for a second

Streams on a sound endpoint that paused for about a second could break: the user timeout of 2 s also ends a connection at its second keepalive probe, and the last byte may have come a second before the pause. The class is that of the cut: silence judged as failure. Now 2.9 s: the third probe ends it, at least 2 s into the silence, and in time to release memory.

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -11,9 +11,10 @@
 /// Idle time before the first keepalive probe and interval of the probes; the minimum of the
 /// operating system.
 pub const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
-/// Time without an acknowledgement after which a connection is dead: memory reserved for its
-/// request on other endpoints must be released within four seconds of an endpoint's failure.
-pub const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without an acknowledgement after which a connection is dead, also to its keepalive probes.
+/// Sound endpoints are silent for a second or so, and memory reserved on other endpoints must be
+/// released within four seconds of an endpoint's failure.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(2_900);
 
 /// Delay after a failure to accept a connection, as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
