Don't quarantine a request that is often answered for the crashes of another

A request to which a quarter of the last minute's answers went is no suspect now, as a part is none, and up to three of its answers count against its crashes, so that one that was never answered is suspected before it.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -36,6 +36,9 @@
 const MIN_AMBIGUOUS_CRASHES: usize = 5;
 /// Maximum number of equally suspected requests that are quarantined together.
 const MAX_AMBIGUOUS_REQUESTS: usize = 4;
+/// Maximum number of crashes that the answers of the last minute before them take off a request: one
+/// that was never answered is suspected before one that ran beside it.
+const MAX_SOUND_CREDIT: usize = 3;
 /// Time after the first of its crashes in which a request that was answered in the last minute is
 /// no suspect, ms: endpoints that were lost at once are back by then, and answer sound requests.
 const OUTAGE_MS: f64 = 5_000.0;
@@ -157,11 +160,10 @@
         self.by_feature.get(feature).copied().unwrap_or(0)
     }
 
-    /// Whether so many of the answers were to prompts with a part that it is sound.
+    /// Whether so many of the answers were to requests with a feature that it is sound.
     fn is_popular(&self, feature: &RequestFeature) -> bool {
         let count = self.of(feature);
-        let is_part = matches!(feature, RequestFeature::Part(_));
-        is_part && count > 0 && count as f64 >= POPULAR_SHARE * self.answers as f64
+        count > 0 && count as f64 >= POPULAR_SHARE * self.answers as f64
     }
 }
 
@@ -497,7 +499,12 @@
                 let mut own = crashes.filter(|other| numbers.contains(&other.number));
                 let first_at = own.next().map_or(crash.at, |first| first.at);
                 let is_outage = counts.of(feature) > 0 && crash.at - first_at < OUTAGE_MS;
-                if is_outage { 0 } else { numbers.len() }
+                let sound = counts.of(feature).min(MAX_SOUND_CREDIT);
+                if is_outage {
+                    0
+                } else {
+                    numbers.len().saturating_sub(sound)
+                }
             }
         }
     }
