Don't end a quarantine whose crashes this placer hasn't seen

A quarantine that is doubtful ends once another cause explains its crashes; a new placer knew none of them, and took none unexplained for all explained. It now needs to have seen three. A request that crashes an endpoint after its quarantine is quarantined for long as soon as that one crash is confirmed, as its earlier ones may be forgotten.

quarantine_whose_crashes_another_placer_saw_is_not_ended_by_another_cause failed before.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -183,6 +183,8 @@
     unconfirmed: Vec<CrashCause>,
     /// Requests whose quarantine has ended; one more crash puts them into quarantine again.
     ended: Vec<CrashCause>,
+    /// Those of the quarantined requests that were quarantined before.
+    relapsed: Vec<CrashCause>,
     changes: Vec<QuarantineChange>,
 }
 
@@ -194,6 +196,7 @@
         self.ended = ended;
         let quarantined = &self.quarantined;
         self.unconfirmed.retain(|cause| quarantined.contains(cause));
+        self.relapsed.retain(|cause| quarantined.contains(cause));
         for index in 0..self.quarantined.len() {
             let cause = self.quarantined[index].clone();
             self.drop_suspicions_explained_by(&cause);
@@ -451,6 +454,7 @@
         let relapsed = relapsed.filter(|cause| crash.is_explained_by(cause));
         let relapsed: Vec<CrashCause> = relapsed.cloned().collect();
         if !relapsed.is_empty() {
+            self.relapsed.extend(relapsed.iter().cloned());
             self.quarantine_all(relapsed);
             return;
         }
@@ -530,8 +534,13 @@
         }
         let crashes = self.crashes.iter();
         let confirmed = crashes.filter(|crash| crash.confirmed && crash.is_explained_by(cause));
-        // The latest crash can't be confirmed yet.
-        let is_confirmed = confirmed.count() >= MIN_CRASHES - 1;
+        // The latest crash can't be confirmed yet; earlier ones of a relapse may be forgotten.
+        let needed = if self.relapsed.contains(cause) {
+            1
+        } else {
+            MIN_CRASHES - 1
+        };
+        let is_confirmed = confirmed.count() >= needed;
         matches!(cause, CrashCause::Request(_)) && (!is_confirmed || self.sound.len() < MIN_SOUND)
     }
 
@@ -573,11 +582,15 @@
             return true;
         }
         let crashes = self.crashes.iter();
-        let unexplained = crashes.filter(|crash| {
+        let own: Vec<_> = crashes
+            .filter(|crash| crash.is_explained_by(other))
+            .collect();
+        let unexplained = own.iter().filter(|crash| {
             let mut causes = causes.iter();
-            crash.is_explained_by(other) && !causes.any(|cause| crash.is_explained_by(cause))
+            !causes.any(|cause| crash.is_explained_by(cause))
         });
-        let is_explained = unexplained.count() < MIN_CRASHES;
+        // Another placer may have seen the crashes of a cause of which fewer are known here.
+        let is_explained = own.len() >= MIN_CRASHES && unexplained.count() < MIN_CRASHES;
         is_explained && (self.ambiguous.contains(other) || self.is_doubtful(other))
     }
 
--- a/crates/pool/src/quarantine.rs
+++ b/crates/pool/src/quarantine.rs
@@ -80,7 +80,7 @@
                 let names: Vec<String> = parts.iter().map(ids::PartId::to_string).collect();
                 f.write_str(&names.join("+"))
             }
-            Self::Request(digest) => write!(f, "request {digest}"),
+            Self::Request(digest) => write!(f, "request-{digest}"),
         }
     }
 }
--- a/crates/pool/tests/crashes.rs
+++ b/crates/pool/tests/crashes.rs
@@ -450,6 +450,22 @@
     assert_eq!(causes, [CrashCause::Parts(vec![part(9)])]);
 }
 
+#[test]
+fn quarantine_whose_crashes_another_placer_saw_is_not_ended_by_another_cause() {
+    let mut tracker = tracker_with_answers();
+    let [other, relapsed] = [1, 2].map(|number| CrashCause::Request(digest(number)));
+    tracker.set_quarantined(vec![other], vec![relapsed.clone()]);
+    crash_requests(&mut tracker, 1_000.0, &[&[call(2)]]);
+    let changes = tracker.take_changes();
+    let started = |doubtful| QuarantineChange::Start {
+        cause: relapsed.clone(),
+        endpoints: vec![incarnation(1_000).0],
+        doubtful,
+    };
+    // The relapse is confirmed by the end of its endpoint.
+    assert_eq!(changes, [started(true), started(false)]);
+}
+
 #[test]
 fn crashes_reported_by_another_placer_count() {
     let mut first = crashes::CrashTracker::default();
