Keep quarantines in the platform's store

What must last lives in the store: the placer writes each quarantine there, and a daemon reads them before it is ready, for a second at most.

quarantine_outlasts_the_loss_of_all_daemons failed before.

--- a/crates/daemon/tests/behind_platform/crashing_requests.rs
+++ b/crates/daemon/tests/behind_platform/crashing_requests.rs
@@ -157,6 +157,39 @@
     assert_eq!(crashes(), 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantine_outlasts_the_loss_of_all_daemons() {
+    let (store, endpoints, mut daemons) = start_crashing("/safe/crash", 6).await;
+    let crashes = || -> usize {
+        let records = endpoints.iter().map(FakeEndpoint::crash_record);
+        records.map(|record| record.crashes.len()).sum()
+    };
+    let stopped = atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        let _guard = support::StopGuard(&stopped);
+        scope.spawn(|| support::keep_registered(&store, &endpoints, &stopped));
+        RunningDaemon::wait_for("the quarantine", || {
+            daemons[0].call("GET /safe/crash HTTP/1.1", "a1").status == 503
+        });
+        let before = crashes();
+        RunningDaemon::wait_for("the copy in the store", || {
+            !store.names("sardinepaddle-quarantines").is_empty()
+        });
+        for daemon in &mut daemons {
+            daemon.process.kill();
+        }
+        for daemon in &mut daemons {
+            daemon.restart();
+        }
+        for daemon in &daemons {
+            daemon.wait_ready();
+            let response = daemon.call("GET /safe/crash HTTP/1.1", "a2");
+            assert_eq!(response.status, 503, "{response:?}");
+        }
+        assert_eq!(crashes(), before);
+    });
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_to_which_endpoints_respond_with_failures_is_not_quarantined() {
     let scripts = [EndpointScript::Fail, EndpointScript::Fail];
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod logs;
 mod metrics;
 mod monitoring;
+mod quarantine_store;
 mod reach;
 mod relay;
 mod request;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::logs;
 use crate::metrics;
 use crate::monitoring;
+use crate::quarantine_store;
 use crate::state;
 use crate::store_sync;
 use crate::upstream;
@@ -113,6 +114,7 @@
     };
     task::spawn_local(frontend::accept(context, client_listener));
     store_sync::start(&state);
+    task::spawn_local(quarantine_store::restore(state.clone()));
     task::spawn_local(store_sync::keep_registered(state.clone(), entry));
     task::spawn_local(tick(state.clone(), upstreams));
     log::info!(target: "sardinepaddle", life = state.incarnation, callers:% = addresses.callers;
@@ -138,6 +140,9 @@
     loop {
         ticks.tick().await;
         state.tick();
+        for quarantine in state.take_unsaved_quarantines() {
+            task::spawn_local(quarantine_store::save(state.clone(), quarantine));
+        }
         if state.now() - swept_at > SWEEP_PERIOD.as_secs_f64() * 1_000.0 {
             swept_at = state.now();
             state.sweep();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -54,6 +54,9 @@
 const SHARED_LIMIT_FRACTION: f64 = 0.75;
 const SOLO_LIMIT_FRACTION: f64 = 0.5;
 
+/// Time after the start of the process for which it waits for the quarantines in the store, ms: other
+/// daemons may have them, and the store may be away.
+const MAX_QUARANTINE_WAIT_MS: f64 = 1_000.0;
 /// Time without a message after which a follower no longer counts for the shares, ms. With the
 /// interval of updates, less than the time after which it selects another placer.
 const FOLLOWER_SILENCE_MS: f64 = 800.0;
@@ -110,6 +113,8 @@
     pub forward_targets: forward::ForwardTargets,
     /// Path to the endpoints.
     pub reach: reach::EndpointReach,
+    quarantines_restored: cell::Cell<bool>,
+    unsaved_quarantines: cell::RefCell<Vec<replica::ReplicaObject>>,
     /// Quarantined causes of crashes.
     quarantines: cell::RefCell<quarantine::QuarantineList>,
     /// Time of the shutdown request, ms.
@@ -165,6 +170,8 @@
             limits_known_since: cell::RefCell::default(),
             forward_targets: forward::ForwardTargets::default(),
             reach: reach::EndpointReach::default(),
+            quarantines_restored: cell::Cell::new(false),
+            unsaved_quarantines: cell::RefCell::default(),
             quarantines: cell::RefCell::default(),
             shutdown_started_at: cell::Cell::new(None),
             unreachable_kinds: cell::RefCell::default(),
@@ -194,7 +201,19 @@
 
     /// Whether the copy of the store is complete enough to route requests.
     pub fn is_synced(&self) -> bool {
-        self.cache.borrow().is_synced()
+        let has_quarantines =
+            self.quarantines_restored.get() || self.now() > MAX_QUARANTINE_WAIT_MS;
+        has_quarantines && self.cache.borrow().is_synced()
+    }
+
+    /// Records that the quarantines in the store have been read.
+    pub fn set_quarantines_restored(&self) {
+        self.quarantines_restored.set(true);
+    }
+
+    /// Returns and clears the quarantines that were decided here and are not in the store yet.
+    pub fn take_unsaved_quarantines(&self) -> Vec<replica::ReplicaObject> {
+        self.unsaved_quarantines.take()
     }
 
     /// Returns the copy of the store's objects.
@@ -336,6 +355,10 @@
                 crashes::QuarantineChange::Release { cause } => (cause, None),
             };
             let object = self.cache.borrow().quarantine_object(cause, period_ms);
+            if let Ok(object) = &object {
+                let mut unsaved = self.unsaved_quarantines.borrow_mut();
+                unsaved.push(object.clone());
+            }
             self.apply_own(object);
         }
         let now = self.now();
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -309,6 +309,11 @@
         }
     }
 
+    /// Whether an object is a quarantine or the end of one.
+    pub fn is_quarantine(object: &replica::ReplicaObject) -> bool {
+        matches!(object.kind, QUARANTINE_KIND | REQUEST_QUARANTINE_KIND)
+    }
+
     /// Returns the object that tells other daemons of a crash that was `age_ms` ago.
     pub fn crash_object(
         &self,
@@ -399,8 +404,9 @@
             self.history.record(&object);
             let name = object.name.clone();
             let number = object.kind;
+            let is_quarantine = Self::is_quarantine(&object);
             let is_applied = self.replica.apply(object);
-            if is_applied && matches!(number, QUARANTINE_KIND | REQUEST_QUARANTINE_KIND) {
+            if is_applied && is_quarantine {
                 let is_quarantined = self.replica.object(number, &name);
                 let is_quarantined = is_quarantined.is_some_and(|object| object.spec.is_some());
                 log::warn!(target: "sardinepaddle", cause = name, quarantined:% = is_quarantined,
