--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -1,5 +1,6 @@
 //! A daemon that reaches no endpoint, in touch with daemons that do.
 
+use std::io::Write;
 use std::net;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use serde_json::json;
 
 use crate::support;
+use crate::support::KEY;
 use crate::support::RunningDaemon;
 
 /// Time from the start of a cut after which requests are to be served; set by the users' rules.
@@ -201,6 +203,33 @@
     assert_eq!(response.body, events);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn client_that_leaves_ends_its_forwarded_request_at_the_endpoint() {
+    let deployment = CutDeployment::start(closed_addresses).await;
+    for endpoint in &deployment.endpoints {
+        endpoint.set_script(EndpointScript::Stall);
+    }
+    let mut stream = net::TcpStream::connect(deployment.daemon.clients).unwrap();
+    let head = format!(
+        "POST /once/ HTTP/1.1\r\nHost: x.example\r\nContent-Length: 0\r\n\
+         Authorization: Bearer {KEY}\r\nX-Attempt-Id: r1\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let endpoints = deployment.endpoints.iter();
+    RunningDaemon::wait_for("the request", || {
+        let mut endpoints = endpoints.clone();
+        endpoints.any(|endpoint| !endpoint.requests().is_empty())
+    });
+    drop(stream);
+    let left_at = std::time::Instant::now();
+    RunningDaemon::wait_for("its end", || {
+        let mut endpoints = endpoints.clone();
+        endpoints.any(|endpoint| endpoint.abandoned_count() > 0)
+    });
+    // Set by the users' rules.
+    assert!(left_at.elapsed() < Duration::from_millis(500));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_is_refused_at_once_when_all_daemons_are_cut_off() {
     let mut deployment = CutDeployment::start(closed_addresses).await;
