Don't say that a forwarded request has not run if its failure breaks off

A failure whose body broke off on the way from the other daemon became a 503, which promises that the request has not run, though an endpoint may have failed while it ran. Found by reading; the new test got 503 before, 502 now.

--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -1,5 +1,6 @@
 //! A daemon that reaches no endpoint, in touch with daemons that do.
 
+use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::time::Duration;
@@ -203,6 +204,48 @@
     assert_eq!(response.body, events);
 }
 
+/// Responds to each connection with the head of a failure and a part of its body.
+fn respond_with_broken_failures(listener: net::TcpListener) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = [0; 4_096];
+            // The request is short enough for one read.
+            let _ = stream.read(&mut request);
+            let failure = "HTTP/1.1 500 Failed\r\nContent-Length: 100\r\n\r\nfail";
+            stream.write_all(failure.as_bytes()).unwrap();
+        }
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_failure_that_breaks_off_is_not_said_to_be_not_run() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let callers = listener.local_addr().unwrap();
+    respond_with_broken_failures(listener);
+    let store = FakeObjectStore::start().await;
+    store.put(
+        "config",
+        "main",
+        support::config(1, &support::default_routes()),
+    );
+    for id in ["e0", "e1"] {
+        let endpoint = FakeEndpoint::start(id, EndpointScript::Respond).await;
+        let mut entry = endpoint.entry("s", "ready");
+        entry["address"] = fleet::free_address().to_string().into();
+        store.put("servers", id, entry);
+    }
+    let entry = json!({"host": "h2", "centre": "a", "cpu_millis": 1_000,
+        "address": fleet::free_address().to_string(), "callers": callers.to_string()});
+    store.put("sardinepaddle-daemons", "h2", entry);
+    let daemon = RunningDaemon::start(&store, "h3");
+    daemon.wait_ready();
+    for number in 0..10 {
+        let response = daemon.call("POST /once/ HTTP/1.1", &format!("s{number}"));
+        assert_eq!(response.status, 502, "{response:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn client_that_leaves_ends_its_forwarded_request_at_the_endpoint() {
     let deployment = CutDeployment::start(closed_addresses).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,7 @@
 impl ForwardTargets {
     fn back_off(&self, host: &ids::HostId, now: f64) {
         let mut backoffs = self.backoffs.borrow_mut();
+        backoffs.retain(|_, until| now < *until);
         backoffs.insert(host.clone(), now + BACKOFF_MS);
     }
 
@@ -141,6 +142,7 @@
     ForwardOutcome::NoTarget
 }
 
+/// Returns a plan with a daemon in the place of the endpoint.
 fn plan_for(host: &ids::HostId, address: net::SocketAddr) -> job::PlacementPlan {
     job::PlacementPlan {
         primary: job::PlanMember {
--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -12,8 +12,7 @@
 
 /// Backoff after a failed call.
 const RETRY_BACKOFF: Duration = Duration::from_millis(500);
-/// Number of times that a quarantine is written at most: those of a store that stays away are kept by
-/// the daemons.
+/// Maximum number of attempts to write a quarantine; the daemons have it in any case.
 const MAX_WRITES: usize = 20;
 
 /// Reads the quarantines that the store has, until that has succeeded.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -22,8 +22,8 @@
 
 /// Number of other endpoints that are tried if one can't be reached.
 const OTHER_ENDPOINTS: usize = 3;
-/// Time since the last connection to an endpoint in which the daemon isn't cut off, ms: a few
-/// requests of one client may come in it.
+/// Time after a connection to an endpoint in which the path is not tried again, ms: when an endpoint
+/// ends, many requests fail at once.
 const RECENT_MS: f64 = 100.0;
 /// Interval at which an endpoint is tried while none can be reached.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -65,6 +65,7 @@
     pub path: String,
     pub headers: http::HeaderMap,
     pub body: Bytes,
+    /// By which its repeats are recognized.
     pub digest: ids::RequestDigest,
     /// Arrival time, ms since the start of the process.
     pub arrived_at: f64,
@@ -458,12 +459,16 @@
             let failure = self.read_failure(parts, body).await;
             // The other daemon doesn't know what this one has sent.
             let failure = failure.filter(|_| !(self.may_have_run && marks.implies_not_run));
-            return Err(AttemptError {
-                failure,
-                ..AttemptError::declined(response::LocalResponse::NotRun {
+            let without_body = match marks.implies_not_run {
+                true => response::LocalResponse::NotRun {
                     reason: "forwarded_refused",
                     retry_after_ms: REFUSED_RETRY_AFTER_MS,
-                })
+                },
+                false => response::LocalResponse::Failed,
+            };
+            return Err(AttemptError {
+                failure,
+                ..AttemptError::declined(without_body)
             });
         }
         let is_own = marks.attempt_id.as_deref() == Some(request.hints.attempt_id.as_str());
