--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -155,17 +155,12 @@
         for state in self.endpoints.values_mut() {
             state.listed = false;
         }
-        for (id, state) in &self.endpoints {
-            let started_ms = state.live.started_ms;
-            let mut listed = listed.iter();
-            if !listed.any(|live| live.id == *id && live.started_ms == started_ms) {
-                self.crash_tracker.record_end(&(id.clone(), started_ms));
-            }
-        }
         for live in listed {
             let state = self.endpoints.entry(live.id.clone());
             let state = state.or_insert_with(|| state::EndpointState::new(live.clone()));
             if state.live.started_ms != live.started_ms {
+                let previous = (live.id.clone(), state.live.started_ms);
+                self.crash_tracker.record_end(&previous);
                 // A new incarnation with the same id has no jobs or memory of the previous one.
                 *state = state::EndpointState::new(live.clone());
             }
@@ -173,6 +168,10 @@
             state.listed = true;
             state.centre_closed = closed.contains(&live.centre);
         }
+        for (id, state) in self.endpoints.iter().filter(|(_, state)| !state.listed) {
+            let incarnation = (id.clone(), state.live.started_ms);
+            self.crash_tracker.record_end(&incarnation);
+        }
         self.endpoints
             .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
