Don't place a waiting repeat as its request is quarantined

Traced: the placer decided on the third crash and, in the same tick, placed the repeat that had waited for the decision, before the quarantine had taken effect; the daemon sends it unless the quarantine arrives before the plan. Waiting requests are now decided once it has taken effect.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -353,6 +353,11 @@
         }
     }
 
+    /// Whether there are changes that have not been taken.
+    pub fn has_changes(&self) -> bool {
+        !self.changes.is_empty()
+    }
+
     /// Returns and clears the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
         std::mem::take(&mut self.changes)
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -432,6 +432,25 @@
     pub fn tick(&mut self, now: f64) {
         self.advance(now);
         self.settle_crashes(now);
+        // New quarantines take effect before waiting requests that they concern are placed.
+        if !self.crash_tracker.has_changes() {
+            self.decide_waiting(now);
+        }
+        let expired: Vec<job::JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| now > job.deadline_at + JOB_EXPIRY_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for job in expired {
+            self.cancel(now, job);
+        }
+        self.endpoints
+            .retain(|_, state| state.listed || !state.jobs.is_empty());
+    }
+
+    /// Decides on waiting requests.
+    fn decide_waiting(&mut self, now: f64) {
         let mut waiting = std::mem::take(&mut self.waiting);
         // Requests with the highest value per engine time come first.
         let value_density = |request: &state::WaitingRequest| {
@@ -445,17 +464,6 @@
                 self.waiting.push(request);
             }
         }
-        let expired: Vec<job::JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| now > job.deadline_at + JOB_EXPIRY_MS)
-            .map(|(id, _)| *id)
-            .collect();
-        for job in expired {
-            self.cancel(now, job);
-        }
-        self.endpoints
-            .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
 
     /// Returns and clears the decisions made since the last call.
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -207,6 +207,20 @@
     plan_of(&mut placer, job_id(11));
 }
 
+#[test]
+fn repeat_that_waits_for_the_decision_on_a_crash_is_not_placed_as_its_request_is_quarantined() {
+    let mut placer = placer_with_engines(4, 26.0);
+    let broken = health::HealthSignal::Failed.into();
+    let now = break_calls(&mut placer, 2, &broken);
+    placer.submit(now, job_id(11), call_with_digest(1));
+    plan_of(&mut placer, job_id(11));
+    placer.end(now + 60.0, job_id(11), &broken);
+    placer.submit(now + 61.0, job_id(12), call_with_digest(1));
+    placer.tick(now + 260.0);
+    assert_eq!(decision_of(&mut placer, job_id(12)), None);
+    assert_eq!(placer.take_quarantine_changes().len(), 1);
+}
+
 #[test]
 fn request_to_which_endpoints_respond_with_failures_is_not_quarantined() {
     let mut placer = placer_with_engines(4, 26.0);
