Placement requests name their customer and whether they hedge; engine time of a request

The queue, the shares of customers and hedging need the same three inputs. Customer and hedge follow the message, where builds without them ignore the bytes (test). Nothing reads them yet.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -122,6 +122,10 @@
     digests: Vec<Option<ids::RequestDigest>>,
     /// Whether the endpoint responded to the attempt that ended.
     responded: bool,
+    /// Customers of the requests in the message.
+    customers: Vec<Option<ids::CustomerId>>,
+    /// Whether each request in the message is for an attempt beside another one.
+    hedges: Vec<bool>,
 }
 
 impl MessageTail {
@@ -134,7 +138,11 @@
         let (parts, bytes) = postcard::take_from_bytes(bytes)?;
         tail.parts = parts;
         if !bytes.is_empty() {
-            (tail.digests, tail.responded) = postcard::from_bytes(bytes)?;
+            let (known, bytes) = postcard::take_from_bytes(bytes)?;
+            (tail.digests, tail.responded) = known;
+            if !bytes.is_empty() {
+                (tail.customers, tail.hedges) = postcard::from_bytes(bytes)?;
+            }
         }
         Ok(tail)
     }
@@ -170,6 +178,11 @@
                 .collect(),
             digests: requests.iter().map(|request| request.digest).collect(),
             responded: matches!(self, Self::JobFinished { outcome, .. } if outcome.responded),
+            customers: requests
+                .iter()
+                .map(|request| request.customer.clone())
+                .collect(),
+            hedges: requests.iter().map(|request| request.is_hedge).collect(),
         }
     }
 
@@ -183,6 +196,12 @@
         for (request, digest) in self.requests_mut().into_iter().zip(tail.digests) {
             request.digest = digest;
         }
+        for (request, customer) in self.requests_mut().into_iter().zip(tail.customers) {
+            request.customer = customer;
+        }
+        for (request, is_hedge) in self.requests_mut().into_iter().zip(tail.hedges) {
+            request.is_hedge = is_hedge;
+        }
     }
 }
 
@@ -198,13 +217,18 @@
 pub fn encode(message: &PlacementMessage, era: u64) -> Result<Bytes, postcard::Error> {
     let mut bytes = postcard::to_stdvec(message)?;
     let tail = message.tail();
-    let has_digests = tail.responded || tail.digests.iter().any(Option::is_some);
+    let has_customers = tail.customers.iter().any(Option::is_some) || tail.hedges.contains(&true);
+    let has_digests =
+        has_customers || tail.responded || tail.digests.iter().any(Option::is_some);
     let has_parts = has_digests || tail.parts.iter().any(|parts| !parts.is_empty());
     if era > 0 || has_parts {
         bytes = postcard::to_extend(&era, bytes)?;
     }
-    if has_digests {
+    if has_customers {
         bytes = postcard::to_extend(&tail, bytes)?;
+    } else if has_digests {
+        let known = (&tail.parts, &tail.digests, tail.responded);
+        bytes = postcard::to_extend(&known, bytes)?;
     } else if has_parts {
         bytes = postcard::to_extend(&tail.parts, bytes)?;
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -796,6 +796,8 @@
             excluded,
             shared_parts: request.hints.shared_parts.clone(),
             digest: Some(request.digest),
+            customer: request.route_match.customer.clone(),
+            is_hedge: false,
             is_retry: self.possible_runs > 0 || self.attempts > self.unsent,
         }
     }
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -41,6 +41,8 @@
                 .map(|part| ids::PartId::from_name(part))
                 .collect(),
             digest: None,
+            customer: None,
+            is_hedge: false,
             is_retry: false,
         },
     }
@@ -77,6 +79,24 @@
     assert_eq!(parts[0].len(), 2);
 }
 
+#[test]
+fn customers_of_requests_follow_what_older_builds_read() {
+    let mut message = placement_request(&["1", "2"]);
+    if let PlacementMessage::PlacementRequest { request, .. } = &mut message {
+        request.digest = Some(ids::RequestDigest::of(&[b"a"]));
+        request.customer = Some(ids::CustomerId::new("c1"));
+        request.is_hedge = true;
+    }
+    let bytes = message::encode(&message, 0).unwrap();
+    assert_eq!(message::decode(&bytes).unwrap(), (message, 0));
+    // How builds without customers decode: bytes after the digests are ignored.
+    let (_, rest) = postcard::take_from_bytes::<PlacementMessage>(&bytes).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<u64>(rest).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<Vec<Vec<ids::PartId>>>(rest).unwrap();
+    let known: (Vec<Option<ids::RequestDigest>>, bool) = postcard::from_bytes(rest).unwrap();
+    assert_eq!(known, (vec![Some(ids::RequestDigest::of(&[b"a"]))], false));
+}
+
 #[test]
 fn response_of_a_failed_attempt_follows_what_older_builds_read() {
     let message = |responded| PlacementMessage::JobFinished {
--- a/crates/pool/benches/placement.rs
+++ b/crates/pool/benches/placement.rs
@@ -40,6 +40,8 @@
         excluded: Vec::new(),
         shared_parts: Vec::new(),
         digest: None,
+        customer: None,
+        is_hedge: false,
         is_retry: false,
     }
 }
--- a/crates/pool/src/engine.rs
+++ b/crates/pool/src/engine.rs
@@ -34,6 +34,26 @@
     step_ms * f64::from(profile.stride)
 }
 
+/// Returns the engine time of a whole request, ms: its prefill, and its part of the steps in which
+/// an engine with all slots in use generates its response.
+///
+/// ```
+/// # let profile = model::serving::EngineProfile {
+/// #     slots: 16, memory_tokens: 315_000, stride: 51, step_ms: 0.85, step_ms_per_request: 0.0,
+/// #     step_ms_per_context_k: 0.0, prefill_tokens_per_ms: 177.0,
+/// #     attention_ms_per_million_pairs: 0.184, chunk_tokens: 2_048 };
+/// let short = sardinepaddle_pool::engine::work_ms(&profile, 5_000, 1_600);
+/// let long = sardinepaddle_pool::engine::work_ms(&profile, 154_000, 800);
+/// assert!(long > 20.0 * short);
+/// ```
+pub fn work_ms(profile: &serving::EngineProfile, prompt_tokens: u64, answer_tokens: u64) -> f64 {
+    let context_k = prompt_tokens as f64 / 1_000.0;
+    let token_ms = profile.step_ms / f64::from(profile.slots.max(1))
+        + profile.step_ms_per_request
+        + profile.step_ms_per_context_k * context_k;
+    prefill_ms(profile, prompt_tokens, 1) + answer_tokens as f64 * token_ms
+}
+
 /// Returns the longest time that prefill can add to one pass, ms, at `ms_per_token` per token.
 pub fn max_pass_prefill_ms(profile: &serving::EngineProfile, ms_per_token: f64) -> f64 {
     f64::from(profile.stride) * f64::from(profile.chunk_tokens) * ms_per_token
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -82,6 +82,14 @@
     /// Digest of the request, sent likewise; `None` if the daemon doesn't know digests.
     #[serde(skip)]
     pub digest: Option<ids::RequestDigest>,
+    /// The customer on whose behalf it is made, sent likewise; `None` without customers, and if the
+    /// daemon's build doesn't send it.
+    #[serde(skip)]
+    pub customer: Option<ids::CustomerId>,
+    /// Whether another attempt for the same request is running, which this one may overtake; sent
+    /// likewise. Builds that don't know it count the attempt as a retry.
+    #[serde(skip)]
+    pub is_hedge: bool,
     /// Whether an earlier attempt was made, so that this one counts against the retry budget.
     pub is_retry: bool,
 }
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -288,6 +288,7 @@
             objective_at: now + request.objective_remaining_ms,
             deadline_at: now + request.remaining_ms,
             min_latency_ms: self.min_latency_ms(&request),
+            work_ms: self.work_ms(&request),
             request,
         }
     }
@@ -607,6 +608,22 @@
         }
     }
 
+    /// Returns the engine time that a request takes, or the time in a slot of a plain service, ms.
+    fn work_ms(&self, request: &job::PlacementRequest) -> f64 {
+        let engine = self.services.get(&request.service);
+        let engine = engine.and_then(|profile| profile.engine.as_ref());
+        match (request.kind, engine) {
+            (
+                job::JobKind::Prompt {
+                    tokens,
+                    answer_tokens,
+                },
+                Some(profile),
+            ) => engine::work_ms(profile, tokens, answer_tokens),
+            _ => self.mean_call_ms(&request.service),
+        }
+    }
+
     fn mean_call_ms(&self, service: &ids::ServiceId) -> f64 {
         self.call_means_ms
             .get(service)
@@ -833,6 +850,8 @@
             service: request.service.clone(),
             kind: request.kind,
             value: waiting.value,
+            work_ms: waiting.work_ms,
+            customer: request.customer.clone(),
             placed_at: now,
             objective_at: waiting.objective_at,
             gap_objective_ms: request.gap_objective_ms,
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -64,6 +64,10 @@
     pub service: ids::ServiceId,
     pub kind: job::JobKind,
     pub value: f64,
+    /// Engine time that it takes, or time in a slot of a plain service, ms.
+    pub work_ms: f64,
+    /// The customer on whose behalf it runs.
+    pub customer: Option<ids::CustomerId>,
     pub placed_at: f64,
     pub objective_at: f64,
     pub gap_objective_ms: f64,
@@ -95,6 +99,8 @@
     pub deadline_at: f64,
     /// Time to its first event on idle endpoints, ms.
     pub min_latency_ms: f64,
+    /// Engine time that it takes, or time in a slot of a plain service, ms.
+    pub work_ms: f64,
 }
 
 impl WaitingRequest {
--- a/crates/pool/tests/support/placers.rs
+++ b/crates/pool/tests/support/placers.rs
@@ -67,6 +67,8 @@
         excluded: Vec::new(),
         shared_parts: Vec::new(),
         digest: None,
+        customer: None,
+        is_hedge: false,
         is_retry: false,
     }
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -316,6 +316,8 @@
             excluded: Vec::new(),
             shared_parts: Vec::new(),
             digest: None,
+            customer: None,
+            is_hedge: false,
             is_retry: false,
         };
         self.placer.submit(now, Self::job(index), placement_request);
