End attempts that a daemon no longer reports when it connects again

The older connection counts as replaced, so the placer doesn't drop the daemon's jobs, and the report of the end was lost with it: the placer kept the attempt to its deadline and 5 s more, with its memory and place, and counted it as an answer that is being written. Change: what a daemon reports as running replaces what the placer knows of that incarnation.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -966,10 +966,7 @@
         let now = self.now();
         match message {
             message::PlacementMessage::RunningJobs(jobs) => {
-                let mut placer = self.placer.borrow_mut();
-                for running in jobs {
-                    placer.adopt(now, &running);
-                }
+                self.placer.borrow_mut().reconcile(now, incarnation, &jobs);
             }
             message::PlacementMessage::PlacementRequest { job, request } => {
                 self.placer.borrow_mut().submit(now, job, request);
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -311,6 +311,23 @@
         }
     }
 
+    /// Replaces the running jobs of one incarnation of a daemon by those that it reports. The others
+    /// have ended, and the reports of their ends were lost with a connection.
+    pub fn reconcile(&mut self, now: f64, incarnation: u64, reported: &[job::RunningJob]) {
+        let listed: map::HashSet<job::JobId> = reported.iter().map(|running| running.job).collect();
+        let jobs = self
+            .jobs
+            .keys()
+            .filter(|job| job.incarnation == incarnation);
+        let ended: Vec<job::JobId> = jobs.filter(|job| !listed.contains(job)).copied().collect();
+        for job in ended {
+            self.end(now, job, &health::HealthSignal::Inconclusive.into());
+        }
+        for running in reported {
+            self.adopt(now, running);
+        }
+    }
+
     /// Adds a running job that another placer has placed.
     pub fn adopt(&mut self, now: f64, running: &job::RunningJob) {
         if self.jobs.contains_key(&running.job) {
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -528,3 +528,33 @@
     }
     assert!(slow_engine_jobs <= 5, "{slow_engine_jobs} of 30");
 }
+
+// Regression: a daemon lost its placer and found it again in 3 ms while an attempt ended. The report of
+// the end was lost, and the placer kept the attempt until 5 s after its deadline.
+#[test]
+fn jobs_that_a_daemon_no_longer_reports_have_ended() {
+    let mut placer = placer_with_engines(1, 26.0);
+    let mut reported = Vec::new();
+    for number in [1, 2] {
+        let request = prompt("short", 1_000, 300.0);
+        placer.submit(NOW, job_id(number), request.clone());
+        let plan = plan_of(&mut placer, job_id(number));
+        reported.push(job::RunningJob {
+            job: job_id(number),
+            request,
+            plan,
+            started: true,
+        });
+    }
+    let other = job::JobId {
+        incarnation: job_id(1).incarnation + 1,
+        number: 1,
+    };
+    placer.submit(NOW, other, prompt("short", 1_000, 300.0));
+    assert_eq!(placer.running_count(), 3);
+    placer.reconcile(NOW + 50.0, job_id(1).incarnation, &reported[1..]);
+    assert_eq!(placer.running_count(), 2);
+    // What the daemon reports is running, also if this placer didn't place it.
+    placer.reconcile(NOW + 60.0, job_id(1).incarnation, &reported);
+    assert_eq!(placer.running_count(), 3);
+}
