Split the gateway's request module by role: request, attempt, course

What a request is, one attempt at an endpoint, and the course of attempts are now modules of their own; imports go one way, course to attempt to request.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::course;
 use crate::forward;
 use crate::relay;
 use crate::request;
@@ -96,7 +97,7 @@
     let is_forwarded =
         headers::is_forwarded(incoming.headers()) && forward::is_daemon(&state, client);
     let mut response = match read_request(&context, is_forwarded, incoming).await {
-        Ok(request) => relay::respond(request::RequestRunner::new(request)).await,
+        Ok(request) => relay::respond(course::RequestRunner::new(request)).await,
         Err(response) => response::local(response),
     };
     let can_serve = state.is_ready() && !state.reach.is_cut_off();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod sockets;
 pub mod sse;
 
+mod attempt;
 mod clock;
+mod course;
 mod forward;
 mod frontend;
 mod links;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,8 @@
 use pool::health;
 use tokio::time;
 
+use crate::attempt;
+use crate::course;
 use crate::request;
 use crate::response;
 use crate::sse;
@@ -33,7 +35,7 @@
 
 /// Runs a request until its complete response, or the start of a streamed one, is available.
 pub(crate) async fn respond(
-    mut runner: request::RequestRunner,
+    mut runner: course::RequestRunner,
 ) -> http::Response<response::ResponseBody> {
     let request = runner.request.clone();
     let recorder = OutcomeRecorder::new(&request);
@@ -90,10 +92,10 @@
 
     fn finish_with_failure(
         &self,
-        failure: request::FinalFailure,
+        failure: course::FinalFailure,
     ) -> http::Response<response::ResponseBody> {
         match failure {
-            request::FinalFailure::Local(response) => {
+            course::FinalFailure::Local(response) => {
                 let outcome = match response {
                     response::LocalResponse::NotRun { .. } => "not_run",
                     _ => "failed",
@@ -101,7 +103,7 @@
                 self.end(outcome, response.reason());
                 response::local(response)
             }
-            request::FinalFailure::Endpoint(failure) => {
+            course::FinalFailure::Endpoint(failure) => {
                 self.end("failed", "endpoint_answer");
                 let mut response = http::Response::new(response::full(failure.body));
                 *response.status_mut() = failure.status;
@@ -127,11 +129,11 @@
     kept
 }
 
-type BrokenAttempt = (request::ActiveAttempt, health::HealthSignal, &'static str);
+type BrokenAttempt = (attempt::ActiveAttempt, health::HealthSignal, &'static str);
 
 async fn collect_body(
     request: &request::ClientRequest,
-    endpoint_response: request::EndpointResponse,
+    endpoint_response: attempt::EndpointResponse,
 ) -> Result<http::Response<response::ResponseBody>, BrokenAttempt> {
     let limit = millis::to_duration(request.remaining_ms());
     let body = http_body_util::Limited::new(endpoint_response.body, MAX_BODY_BYTES);
@@ -167,8 +169,8 @@
 }
 
 fn stream_response(
-    runner: request::RequestRunner,
-    endpoint_response: request::EndpointResponse,
+    runner: course::RequestRunner,
+    endpoint_response: attempt::EndpointResponse,
     recorder: OutcomeRecorder,
 ) -> http::Response<response::ResponseBody> {
     let status = endpoint_response.status;
@@ -202,7 +204,7 @@
 
 /// The part of a streamed response that has not been relayed yet.
 struct EventSource {
-    attempt: request::ActiveAttempt,
+    attempt: attempt::ActiveAttempt,
     body: Incoming,
     splitter: sse::EventSplitter,
     /// Whether only the end of the connection ends the response.
@@ -210,7 +212,7 @@
 }
 
 impl EventSource {
-    fn new(response: request::EndpointResponse) -> Self {
+    fn new(response: attempt::EndpointResponse) -> Self {
         Self {
             is_undelimited: upstream::is_undelimited(&response.headers),
             attempt: response.attempt,
@@ -221,7 +223,7 @@
 }
 
 fn relay_events(
-    mut runner: request::RequestRunner,
+    mut runner: course::RequestRunner,
     source: EventSource,
     recorder: OutcomeRecorder,
 ) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> {
@@ -320,7 +322,7 @@
 
 fn record_first_event(
     request: &request::ClientRequest,
-    attempt: &request::ActiveAttempt,
+    attempt: &attempt::ActiveAttempt,
     first_event_recorded: bool,
 ) {
     let state = &request.state;
