Placer: waiting queue, plain calls and crash evidence in modules of their own

Moved without a change of decisions: queue::WaitingQueue (order by the customer's excess, which is 0.0 so far, then by value density), calls::CallPlanner, crash_guard::CrashGuard, members::plan_usages, EndpointState::record_send.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -24,8 +24,11 @@
 pub mod slowdown;
 pub mod value;
 
+mod calls;
 mod cold;
+mod crash_guard;
 mod members;
 mod prompt_search;
+mod queue;
 mod risk;
 mod state;
--- a/crates/pool/src/members.rs
+++ b/crates/pool/src/members.rs
@@ -4,6 +4,7 @@
 
 use model::serving;
 
+use crate::job;
 use crate::passes;
 use crate::state;
 
@@ -185,3 +186,43 @@
         helpers,
     })
 }
+
+/// Returns the resources used by a plan that another placer made.
+pub(crate) fn plan_usages(
+    now: f64,
+    running: &job::RunningJob,
+    profile: Option<&serving::EngineProfile>,
+) -> Vec<state::MemberUsage> {
+    let (request, plan) = (&running.request, &running.plan);
+    let members = 1 + plan.helpers.len();
+    let tokens = request.kind.prompt_tokens();
+    let part = profile.map(|profile| {
+        let arrives_at = now + state::ONE_WAY_LATENCY_MS;
+        passes::PrefillPart::new(profile, running.job, tokens, members, arrives_at)
+    });
+    let part = part.filter(|_| tokens > 0);
+    let needed_tokens = match part {
+        Some(_) => tokens + request.kind.answer_tokens() + RESERVE_MARGIN_TOKENS,
+        None => 0,
+    };
+    let reserved_tokens: u64 = plan
+        .helpers
+        .iter()
+        .map(|helper| helper.reserve_tokens)
+        .sum();
+    let generating_part = part.map(|part| passes::PrefillPart {
+        context_tokens: Some(tokens as f64),
+        ..part
+    });
+    let primary_tokens = needed_tokens.saturating_sub(reserved_tokens);
+    let primary = std::iter::once((&plan.primary, generating_part, primary_tokens));
+    let helpers = plan.helpers.iter();
+    primary
+        .chain(helpers.map(|helper| (helper, part, helper.reserve_tokens)))
+        .map(|(member, part, memory_tokens)| state::MemberUsage {
+            endpoint: member.endpoint.clone(),
+            part,
+            memory_tokens,
+        })
+        .collect()
+}
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -13,22 +13,22 @@
 use model::serving;
 
 use crate::budget;
+use crate::calls;
 use crate::cold;
+use crate::crash_guard;
 use crate::crashes;
 use crate::engine;
 use crate::health;
 use crate::job;
 use crate::limits;
 use crate::members;
-use crate::passes;
 use crate::prompt_search;
 use crate::quarantine;
+use crate::queue;
 use crate::risk;
 use crate::state;
 use crate::value;
 
-/// Network and daemon time between a client and an endpoint, both ways, ms.
-const ROUND_TRIP_MS: f64 = 12.0;
 /// Price of a ms of engine time while the engines are idle, in units of a short prompt's value.
 const IDLE_PRICE_PER_MS: f64 = 0.0005;
 /// Mean backlog at which the price is twice the idle price, ms: a fifth of the shortest objective.
@@ -46,12 +46,6 @@
 const MAX_EVALUATED_PER_TICK: usize = 64;
 /// Shortest and longest retry delay sent with a declined request, ms.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (400, 1_600);
-/// Assumed duration of a plain call until one has completed, ms.
-const INITIAL_CALL_MS: f64 = 30.0;
-/// Weight of the newest call in the mean duration of calls.
-const CALL_SAMPLE_WEIGHT: f64 = 0.05;
-/// Requests per slot up to which late calls are placed in the queue of a plain service.
-const MAX_CALLS_PER_SLOT: f64 = 2.0;
 /// Time past its deadline after which a job is removed if its daemon hasn't reported its end, ms.
 const JOB_EXPIRY_MS: f64 = 5_000.0;
 
@@ -82,15 +76,14 @@
     services: map::HashMap<ids::ServiceId, sync::Arc<serving::ServiceProfile>>,
     endpoints: collections::BTreeMap<ids::EndpointId, state::EndpointState>,
     jobs: map::HashMap<job::JobId, state::PlacedJob>,
-    waiting: Vec<state::WaitingRequest>,
+    queue: queue::WaitingQueue,
     class_values: value::ClassValues,
     retry_budgets: map::HashMap<ids::ServiceId, budget::RetryBudget>,
-    call_means_ms: map::HashMap<ids::ServiceId, f64>,
+    call_planner: calls::CallPlanner,
     retry_share: f64,
     cold_rate: cold::ColdRate,
     rate_limits: limits::RateLimits,
-    crash_tracker: crashes::CrashTracker,
-    quarantines: quarantine::QuarantineList,
+    crash_guard: crash_guard::CrashGuard,
     decisions: Vec<(job::JobId, job::PlacementDecision)>,
 }
 
@@ -102,15 +95,14 @@
             services: map::HashMap::default(),
             endpoints: collections::BTreeMap::new(),
             jobs: map::HashMap::default(),
-            waiting: Vec::new(),
+            queue: queue::WaitingQueue::default(),
             class_values: value::ClassValues::default(),
             retry_budgets: map::HashMap::default(),
-            call_means_ms: map::HashMap::default(),
+            call_planner: calls::CallPlanner::default(),
             retry_share: 1.0,
             cold_rate: cold::ColdRate::default(),
             rate_limits: limits::RateLimits::default(),
-            crash_tracker: crashes::CrashTracker::default(),
-            quarantines: quarantine::QuarantineList::default(),
+            crash_guard: crash_guard::CrashGuard::default(),
             decisions: Vec::new(),
         }
     }
@@ -160,7 +152,7 @@
             let state = state.or_insert_with(|| state::EndpointState::new(live.clone()));
             if state.live.started_ms != live.started_ms {
                 let previous = (live.id.clone(), state.live.started_ms);
-                self.crash_tracker.record_end(&previous);
+                self.crash_guard.tracker.record_end(&previous);
                 // A new incarnation with the same id has no jobs or memory of the previous one.
                 *state = state::EndpointState::new(live.clone());
             }
@@ -170,7 +162,7 @@
         }
         for (id, state) in self.endpoints.iter().filter(|(_, state)| !state.listed) {
             let incarnation = (id.clone(), state.live.started_ms);
-            self.crash_tracker.record_end(&incarnation);
+            self.crash_guard.tracker.record_end(&incarnation);
         }
         self.endpoints
             .retain(|_, state| state.listed || !state.jobs.is_empty());
@@ -179,43 +171,36 @@
     /// Replaces the quarantined causes, each given with the time for which it remains so, ms, zero
     /// if that is over, and declines the waiting requests that they concern.
     pub fn set_quarantines(&mut self, now: f64, listed: &[(quarantine::CrashCause, f64)]) {
-        self.quarantines = quarantine::QuarantineList::new(now, listed);
-        self.update_tracker();
-        for waiting in std::mem::take(&mut self.waiting) {
+        self.crash_guard.set_quarantines(now, listed);
+        for waiting in self.queue.take() {
             let features = waiting.request.features();
-            match self.quarantines.remaining_ms(now, &features) {
+            match self.crash_guard.quarantined_ms(now, &features) {
                 Some(left_ms) => self.decline_quarantined(waiting.job, left_ms),
-                None => self.waiting.push(waiting),
+                None => self.queue.push(waiting),
             }
         }
     }
 
-    fn update_tracker(&mut self) {
-        let ended = self.quarantines.ended().to_vec();
-        let causes = self.quarantines.causes();
-        self.crash_tracker.set_quarantined(causes, ended);
-    }
-
     /// Returns and clears the changes of the quarantined causes that have been decided here. They
     /// take effect with [`Self::set_quarantines`].
     pub fn take_quarantine_changes(&mut self) -> Vec<crashes::QuarantineChange> {
-        self.crash_tracker.take_changes()
+        self.crash_guard.tracker.take_changes()
     }
 
     /// Returns what the placers that follow should know of crashes and has not been returned
     /// before, each with the age of the crash, ms.
     pub fn take_crash_reports(&mut self, now: f64) -> Vec<(f64, crashes::CrashReport)> {
-        self.crash_tracker.take_reports(now)
+        self.crash_guard.tracker.take_reports(now)
     }
 
     /// Adds what another placer reported on a crash that was `age_ms` ago.
     pub fn merge_crash_report(&mut self, now: f64, age_ms: f64, report: &crashes::CrashReport) {
-        self.crash_tracker.merge_report(now, age_ms, report);
+        self.crash_guard.tracker.merge_report(now, age_ms, report);
     }
 
     /// Whether [`Self::tick`] has to be called soon, as requests wait or crashes are undecided.
     pub fn needs_tick(&self) -> bool {
-        !self.waiting.is_empty() || self.crash_tracker.has_unsettled()
+        !self.queue.is_empty() || self.crash_guard.tracker.has_unsettled()
     }
 
     fn decline_quarantined(&mut self, job: job::JobId, left_ms: f64) {
@@ -230,7 +215,7 @@
     /// request submitted again, over another connection, replaces the first.
     pub fn submit(&mut self, now: f64, job: job::JobId, request: job::PlacementRequest) {
         self.cancel(now, job);
-        if let Some(left_ms) = self.quarantines.remaining_ms(now, &request.features()) {
+        if let Some(left_ms) = self.crash_guard.quarantined_ms(now, &request.features()) {
             self.decline_quarantined(job, left_ms);
             return;
         }
@@ -256,7 +241,7 @@
         self.advance(now);
         let waiting = self.assess(now, job, request);
         if !self.try_decide(now, &waiting) {
-            self.waiting.push(waiting);
+            self.queue.push(waiting);
         }
     }
 
@@ -289,19 +274,20 @@
             deadline_at: now + request.remaining_ms,
             min_latency_ms: self.min_latency_ms(&request),
             work_ms: self.work_ms(&request),
+            excess: 0.0,
             request,
         }
     }
 
     /// Removes a request whose client or daemon has disconnected.
     pub fn cancel(&mut self, now: f64, job: job::JobId) {
-        self.waiting.retain(|waiting| waiting.job != job);
+        self.queue.remove(job);
         self.end(now, job, &health::HealthSignal::Inconclusive.into());
     }
 
     /// Removes all requests of one incarnation of a daemon.
     pub fn cancel_incarnation(&mut self, now: f64, incarnation: u64) {
-        let jobs = self.jobs.keys().chain(self.waiting.iter().map(|w| &w.job));
+        let jobs = self.jobs.keys().chain(self.queue.jobs());
         let cancelled: Vec<job::JobId> = jobs
             .filter(|job| job.incarnation == incarnation)
             .copied()
@@ -317,7 +303,9 @@
             return;
         }
         self.advance(now);
-        let usages = self.member_usages(now, running.job, &running.request, &running.plan);
+        let profile = self.services.get(&running.request.service);
+        let engine = profile.and_then(|profile| profile.engine.as_ref());
+        let usages = members::plan_usages(now, running, engine);
         let waiting = self.assess(now, running.job, running.request.clone());
         self.place(now, &waiting, usages, running.plan.predicted_ms);
         if running.started {
@@ -331,7 +319,8 @@
             return;
         };
         job.started_at = Some(now);
-        self.crash_tracker
+        self.crash_guard
+            .tracker
             .record_response(now, &job.primary, job.placed_at);
         let arrived_at = job.placed_at + state::ONE_WAY_LATENCY_MS;
         let predicted_ms = job.predicted_first_event_at - arrived_at;
@@ -358,7 +347,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        self.record_crash_evidence(now, &job, outcome);
+        self.crash_guard.record_outcome(now, &job, outcome);
         for (position, usage) in job.members.iter().enumerate() {
             let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
                 continue;
@@ -375,66 +364,16 @@
             }
         }
         if job.kind == job::JobKind::Call && outcome.signal == health::HealthSignal::Success {
-            let mean_ms = self
-                .call_means_ms
-                .entry(job.service)
-                .or_insert(INITIAL_CALL_MS);
-            *mean_ms += CALL_SAMPLE_WEIGHT * (now - job.placed_at - *mean_ms);
-        }
-    }
-
-    /// Records what the end of a job shows about crashes of endpoints.
-    fn record_crash_evidence(
-        &mut self,
-        now: f64,
-        job: &state::PlacedJob,
-        outcome: &job::JobOutcome,
-    ) {
-        let tracker = &mut self.crash_tracker;
-        match outcome.signal {
-            health::HealthSignal::Success => {
-                tracker.record_response(now, &job.primary, job.placed_at);
-                tracker.record_sound(now, &job.features);
-            }
-            _ if outcome.responded => {
-                tracker.record_response(now, &job.primary, job.placed_at);
-                tracker.record_sound(now, &job.features);
-            }
-            health::HealthSignal::Failed if outcome.at_fault.is_none() => {
-                let (placed_at, started_at) = (job.placed_at, job.started_at);
-                let features = &job.features;
-                tracker.record_break(now, &job.primary, placed_at, started_at, features);
-            }
-            health::HealthSignal::Unreachable if outcome.at_fault.is_none() => {
-                tracker.record_end(&job.primary);
-            }
-            _ => {}
+            self.call_planner.record(job.service, now - job.placed_at);
         }
     }
 
-    /// Ends quarantines whose time is over, and decides on crashes that all daemons have reported.
-    fn settle_crashes(&mut self, now: f64) {
-        if self.quarantines.expire(now) {
-            self.update_tracker();
-        }
-        let jobs = &self.jobs;
-        let written_features = || {
-            let is_written = |job: &&state::PlacedJob| {
-                let started_at = job.started_at.unwrap_or(now);
-                now - started_at >= crashes::BEGIN_MS
-            };
-            let written = jobs.values().filter(is_written);
-            written.flat_map(|job| job.features.iter()).collect()
-        };
-        self.crash_tracker.tick(now, written_features);
-    }
-
     /// Advances time to `now`, decides on waiting requests and removes expired jobs.
     pub fn tick(&mut self, now: f64) {
         self.advance(now);
-        self.settle_crashes(now);
+        self.crash_guard.settle(now, &self.jobs);
         // New quarantines take effect before waiting requests that they concern are placed.
-        if !self.crash_tracker.has_changes() {
+        if !self.crash_guard.tracker.has_changes() {
             self.decide_waiting(now);
         }
         let expired: Vec<job::JobId> = self
@@ -452,17 +391,11 @@
 
     /// Decides on waiting requests.
     fn decide_waiting(&mut self, now: f64) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        // Requests with the highest value per engine time come first.
-        let value_density = |request: &state::WaitingRequest| {
-            request.value / (request.cost_weight * request.min_latency_ms).max(1.0)
-        };
-        waiting.sort_by(|a, b| value_density(b).total_cmp(&value_density(a)));
-        for (position, request) in waiting.into_iter().enumerate() {
+        for (position, request) in self.queue.take().into_iter().enumerate() {
             let deferred = position >= MAX_EVALUATED_PER_TICK
                 && now + request.min_latency_ms < request.deadline_at;
             if deferred || !self.try_decide(now, &request) {
-                self.waiting.push(request);
+                self.queue.push(request);
             }
         }
     }
@@ -479,7 +412,7 @@
 
     /// Returns the number of requests that wait for placement.
     pub fn waiting_count(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Returns the number of placed requests that have not ended.
@@ -499,7 +432,11 @@
         };
         let min_gain = MIN_GAIN_SHARE * selectivity.max(0.0) * waiting.value;
         let scored_plan = match self.best_plan(now, waiting, min_gain) {
-            Ok(scored_plan) => scored_plan.filter(|_| !self.awaits_repeat(now, &waiting.request)),
+            Ok(scored_plan) => scored_plan.filter(|_| {
+                !self
+                    .crash_guard
+                    .awaits_repeat(now, &waiting.request, &self.jobs)
+            }),
             Err(reason) => {
                 self.decline(waiting.job, reason);
                 return true;
@@ -523,25 +460,6 @@
         unservable
     }
 
-    /// Whether a request may crash endpoints, and an identical one still has to show whether it does.
-    fn awaits_repeat(&self, now: f64, request: &job::PlacementRequest) -> bool {
-        let Some(digest) = request.digest else {
-            return false;
-        };
-        let tracker = &self.crash_tracker;
-        if !tracker.is_suspected(digest) && !self.quarantines.has_ended(now, digest) {
-            return false;
-        }
-        if tracker.is_in_unsettled_crash(digest) {
-            return true;
-        }
-        let is_undecided = |job: &state::PlacedJob| {
-            let started_at = job.started_at.unwrap_or(now);
-            job.features.digest == Some(digest) && now - started_at < crashes::BEGIN_MS
-        };
-        self.jobs.values().any(is_undecided)
-    }
-
     /// Returns the time from which the limits let one of the endpoints that a request may run on
     /// get it, ms.
     fn next_turn_at(&self, request: &job::PlacementRequest) -> f64 {
@@ -602,9 +520,9 @@
                 let members = prompt_search::max_members(tokens).min(available);
                 engine::prefill_ms(profile, tokens, members)
                     + engine::pass_ms(profile, 1, 0)
-                    + ROUND_TRIP_MS
+                    + calls::ROUND_TRIP_MS
             }
-            _ => self.mean_call_ms(&request.service) + ROUND_TRIP_MS,
+            _ => self.call_planner.mean_ms(&request.service) + calls::ROUND_TRIP_MS,
         }
     }
 
@@ -620,17 +538,10 @@
                 },
                 Some(profile),
             ) => engine::work_ms(profile, tokens, answer_tokens),
-            _ => self.mean_call_ms(&request.service),
+            _ => self.call_planner.mean_ms(&request.service),
         }
     }
 
-    fn mean_call_ms(&self, service: &ids::ServiceId) -> f64 {
-        self.call_means_ms
-            .get(service)
-            .copied()
-            .unwrap_or(INITIAL_CALL_MS)
-    }
-
     fn available<'a>(
         &'a self,
         service: &'a ids::ServiceId,
@@ -674,7 +585,7 @@
                 Ok(self.best_prompt_plan(now, waiting, engine, &usable, min_gain))
             }
             _ => {
-                let plan = self.best_call_plan(now, waiting, &usable);
+                let plan = self.call_planner.best_plan(now, waiting, &usable);
                 Ok(plan.filter(|plan| plan.gain > min_gain))
             }
         }
@@ -693,59 +604,6 @@
             .accepts(now, &state.live.id, cold_limit, sent_at)
     }
 
-    fn best_call_plan(
-        &self,
-        now: f64,
-        waiting: &state::WaitingRequest,
-        usable: &[&state::EndpointState],
-    ) -> Option<prompt_search::ScoredPlan> {
-        let mean_ms = self.mean_call_ms(&waiting.request.service);
-        let requests_per_slot = |state: &state::EndpointState| {
-            (state.jobs.len() as f64 + 1.0) / f64::from(state.live.slots)
-        };
-        let cost = |state: &state::EndpointState| {
-            let is_cross_centre = state.live.centre != waiting.request.centre;
-            let wait_ms = (requests_per_slot(state) - 1.0).max(0.0) * mean_ms;
-            let objective_ms = waiting.request.full_objective_ms.max(1.0);
-            let cost = state.health.failure_rate(now)
-                + wait_ms / objective_ms
-                + 0.02 * requests_per_slot(state);
-            cost + if is_cross_centre {
-                members::CROSS_CENTRE_COST
-            } else {
-                0.0
-            }
-        };
-        let slack_ms = waiting.objective_at - now - mean_ms - ROUND_TRIP_MS;
-        let max_per_slot = if slack_ms > 0.0 {
-            1.0
-        } else {
-            MAX_CALLS_PER_SLOT
-        };
-        let fitting = usable
-            .iter()
-            .filter(|state| requests_per_slot(state) <= max_per_slot);
-        let state = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-        let plan = job::PlacementPlan {
-            primary: state.plan_member(0),
-            helpers: Vec::new(),
-            predicted_ms: (requests_per_slot(state) - 1.0).max(0.0) * mean_ms
-                + mean_ms
-                + ROUND_TRIP_MS,
-            priority: waiting.request.priority.min(9),
-        };
-        let usages = vec![state::MemberUsage {
-            endpoint: state.live.id.clone(),
-            part: None,
-            memory_tokens: 0,
-        }];
-        Some(prompt_search::ScoredPlan {
-            plan,
-            usages,
-            gain: waiting.value,
-        })
-    }
-
     fn best_prompt_plan(
         &self,
         now: f64,
@@ -776,49 +634,6 @@
         IDLE_PRICE_PER_MS * (1.0 + (mean_ms / PRICE_DOUBLING_BACKLOG_MS).powi(2))
     }
 
-    /// Returns the resources used by a plan that another placer made.
-    fn member_usages(
-        &self,
-        now: f64,
-        job: job::JobId,
-        request: &job::PlacementRequest,
-        plan: &job::PlacementPlan,
-    ) -> Vec<state::MemberUsage> {
-        let engine = self.services.get(&request.service);
-        let engine = engine.and_then(|profile| profile.engine.as_ref());
-        let members = 1 + plan.helpers.len();
-        let tokens = request.kind.prompt_tokens();
-        let part = engine.map(|profile| {
-            let arrives_at = now + state::ONE_WAY_LATENCY_MS;
-            passes::PrefillPart::new(profile, job, tokens, members, arrives_at)
-        });
-        let part = part.filter(|_| tokens > 0);
-        let needed_tokens = match part {
-            Some(_) => tokens + request.kind.answer_tokens() + members::RESERVE_MARGIN_TOKENS,
-            None => 0,
-        };
-        let reserved_tokens: u64 = plan
-            .helpers
-            .iter()
-            .map(|helper| helper.reserve_tokens)
-            .sum();
-        let generating_part = part.map(|part| passes::PrefillPart {
-            context_tokens: Some(tokens as f64),
-            ..part
-        });
-        let primary_tokens = needed_tokens.saturating_sub(reserved_tokens);
-        let primary = std::iter::once((&plan.primary, generating_part, primary_tokens));
-        let helpers = plan.helpers.iter();
-        primary
-            .chain(helpers.map(|helper| (helper, part, helper.reserve_tokens)))
-            .map(|(member, part, memory_tokens)| state::MemberUsage {
-                endpoint: member.endpoint.clone(),
-                part,
-                memory_tokens,
-            })
-            .collect()
-    }
-
     fn place(
         &mut self,
         now: f64,
@@ -836,14 +651,7 @@
             if let Some(part) = usage.part {
                 state.pass_model.add_part(part);
             }
-            state.send_times.push_back(now);
-            while state
-                .send_times
-                .front()
-                .is_some_and(|at| *at < now - 1_000.0)
-            {
-                state.send_times.pop_front();
-            }
+            state.record_send(now);
         }
         let request = &waiting.request;
         let job = state::PlacedJob {
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -101,6 +101,8 @@
     pub min_latency_ms: f64,
     /// Engine time that it takes, or time in a slot of a plain service, ms.
     pub work_ms: f64,
+    /// How far its customer is above its share; zero within it, and without customers.
+    pub excess: f64,
 }
 
 impl WaitingRequest {
@@ -154,6 +156,15 @@
         self.gap_objectives.retain(|(other, _)| *other != job);
     }
 
+    /// Records that a request is sent to it.
+    pub fn record_send(&mut self, now: f64) {
+        self.send_times.push_back(now);
+        let is_over = |at: &f64| *at < now - 1_000.0;
+        while self.send_times.front().is_some_and(is_over) {
+            self.send_times.pop_front();
+        }
+    }
+
     /// Returns the shortest gap objective of the requests that it generates for, ms; `f64::MAX` if
     /// there are none, zero if one of them has no such objective.
     pub fn shortest_gap_ms(&self) -> f64 {
