Each waiting request is decided in each round, and returns are told when the backlog has drained

Cause: the placer looked at the first 64 waiting requests by value density and deferred all others until their deadline came near; under a surge of short prompts clients left undecided after 2 s. Retry delays were random.

Change: pool::queue ranks by excess, by the value density of the route (returns first, late ones last), then by lot; a round searches plans for 64 at most and declines all whose predicted start is too late. pool::drain measures how fast each route is placed while it waits, and gives refused requests slots of a tenth of the drain to return at. While many wait, new requests take no place before them, and a place doesn't go to a request that would be late there. A placer whose rounds come late counts that.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics as api;
+use pool::queue;
 use process::scrape;
 
 /// Upper bounds of the duration histograms' buckets, seconds; they cover the users' objectives and
@@ -10,6 +11,9 @@
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 4.0, 6.0, 10.0, 15.0,
 ];
 
+/// Longest predicted wait that is shown, ms.
+const MAX_WAIT_MS: f64 = 600_000.0;
+
 /// All metrics of a daemon.
 pub(crate) struct GatewayMetrics {
     registry: scrape::ScrapeRegistry,
@@ -28,6 +32,9 @@
     quarantines: api::Gauge<u64>,
     cut_off: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
+    queue_length: api::Gauge<u64>,
+    queue_wait: api::Gauge<f64>,
+    queue_drain: api::Gauge<f64>,
     log_lines_dropped: api::Gauge<u64>,
 }
 
@@ -81,6 +88,18 @@
                 "quarantined_prompt_parts",
                 "Combinations of prompt parts that are declined as endpoints crash on them",
             ),
+            queue_length: gauge(
+                "queue_length",
+                "Requests that wait here for a place, by service",
+            ),
+            queue_wait: meter
+                .f64_gauge("queue_predicted_wait_seconds")
+                .with_description("Predicted time until all that wait will have been placed")
+                .build(),
+            queue_drain: meter
+                .f64_gauge("queue_drain_rate")
+                .with_description("Endpoint time placed per time, by service")
+                .build(),
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
@@ -154,6 +173,15 @@
         self.log_lines_dropped.record(dropped as u64, &[]);
     }
 
+    /// Records the queue of a service.
+    pub fn service_queue(&self, queue: &queue::ServiceQueue) {
+        let labels = [KeyValue::new("service", queue.service.to_string())];
+        self.queue_length.record(queue.waiting as u64, &labels);
+        let wait_s = queue.predicted_wait_ms.min(MAX_WAIT_MS) / 1_000.0;
+        self.queue_wait.record(wait_s, &labels);
+        self.queue_drain.record(queue.drain_rate, &labels);
+    }
+
     /// Records the latest known era of the store.
     pub fn store_era(&self, era: u64) {
         self.store_era.record(era, &[]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -646,6 +646,9 @@
     pub fn record_gauges(&self) {
         let version = self.cache.borrow().version();
         let waiting = self.placer.borrow().waiting_count();
+        for queue in self.placer.borrow().service_queues(self.now()) {
+            self.metrics.service_queue(&queue);
+        }
         let dropped = self.log.drop_counter.dropped_lines();
         self.metrics
             .record_gauges(self.data_age().min(1e9), version, waiting, dropped);
@@ -800,7 +803,18 @@
 
     /// Delivers the decisions of the local placer.
     fn deliver_decisions(&self) {
-        let decisions = self.placer.borrow_mut().take_decisions();
+        let (decisions, refusals) = {
+            let mut placer = self.placer.borrow_mut();
+            (placer.take_decisions(), placer.take_refusals())
+        };
+        for refusal in refusals {
+            log::info!(target: "sardinepaddle", job = refusal.job.number,
+                life = refusal.job.incarnation, service:% = refusal.service,
+                route = refusal.route, waiting = refusal.waiting,
+                drain_rate = refusal.drain_rate, age_ms = refusal.age_ms,
+                predicted_wait_ms = refusal.predicted_wait_ms,
+                retry_after_ms = refusal.retry_after_ms; "request refused under load");
+        }
         for (job, decision) in decisions {
             if job.incarnation == self.incarnation {
                 self.resolve(job, decision);
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -41,10 +41,8 @@
 /// Share of the objective over which that required gain falls to zero: engines take only a few
 /// passes to finish their backlog.
 const SELECTIVITY_DECAY_SHARE: f64 = 0.15;
-/// Waiting requests evaluated in one tick at most: evaluating all of them in every tick would take
-/// the time needed to place them.
-const MAX_EVALUATED_PER_TICK: usize = 64;
-/// Shortest and longest retry delay sent with a declined request, ms.
+/// Shortest and longest retry delay sent with a request that is declined for another reason than
+/// load, ms.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (400, 1_600);
 /// Time past its deadline after which a job is removed if its daemon hasn't reported its end, ms.
 const JOB_EXPIRY_MS: f64 = 5_000.0;
@@ -85,6 +83,7 @@
     rate_limits: limits::RateLimits,
     crash_guard: crash_guard::CrashGuard,
     decisions: Vec<(job::JobId, job::PlacementDecision)>,
+    refusals: Vec<queue::LoadRefusal>,
 }
 
 impl JobPlacer {
@@ -104,6 +103,7 @@
             rate_limits: limits::RateLimits::default(),
             crash_guard: crash_guard::CrashGuard::default(),
             decisions: Vec::new(),
+            refusals: Vec::new(),
         }
     }
 
@@ -172,11 +172,11 @@
     /// if that is over, and declines the waiting requests that they concern.
     pub fn set_quarantines(&mut self, now: f64, listed: &[(quarantine::CrashCause, f64)]) {
         self.crash_guard.set_quarantines(now, listed);
-        for waiting in self.queue.take() {
+        for waiting in self.queue.take(now) {
             let features = waiting.request.features();
             match self.crash_guard.quarantined_ms(now, &features) {
                 Some(left_ms) => self.decline_quarantined(waiting.job, left_ms),
-                None => self.queue.push(waiting),
+                None => self.queue.push(now, waiting),
             }
         }
     }
@@ -239,9 +239,16 @@
             budget.record_request(now);
         }
         self.advance(now);
-        let waiting = self.assess(now, job, request);
-        if !self.try_decide(now, &waiting) {
-            self.queue.push(waiting);
+        let mut waiting = self.assess(now, job, request);
+        self.queue.recognize(now, &mut waiting);
+        let place = self.queue.place_of(&waiting);
+        // Whoever comes while many wait takes no place before them.
+        let is_decided = match place.is_predictable() || !self.queue.try_search(now) {
+            true => self.decline_hopeless(now, &waiting, place),
+            false => self.try_decide(now, &waiting, place),
+        };
+        if !is_decided {
+            self.queue.push(now, waiting);
         }
     }
 
@@ -252,36 +259,42 @@
         job: job::JobId,
         request: job::PlacementRequest,
     ) -> state::WaitingRequest {
-        let (value, cost_weight) = match request.kind {
-            job::JobKind::Prompt { tokens, .. } => {
-                let answer_tokens = request.kind.answer_tokens();
-                let request_value = self
-                    .class_values
-                    .assess(&request.route, tokens, answer_tokens);
-                (
-                    request_value.value,
-                    self.cost_weight(&request.service, tokens, &request_value),
-                )
-            }
-            job::JobKind::Call => (value::CALL_VALUE, 1.0),
+        let mut assessed = value::RequestValue {
+            value: value::CALL_VALUE,
+            class_value: value::CALL_VALUE,
+            class_prompt_tokens: 0,
         };
+        let mut cost_weight = 1.0;
+        if let job::JobKind::Prompt { tokens, .. } = request.kind {
+            let answer_tokens = request.kind.answer_tokens();
+            let values = &mut self.class_values;
+            assessed = values.assess(&request.route, tokens, answer_tokens);
+            cost_weight = self.cost_weight(&request.service, tokens, &assessed);
+        }
+        let typical_ms = self.min_latency_ms(&request, assessed.class_prompt_tokens);
+        let value_density = assessed.class_value / typical_ms.max(1.0);
         state::WaitingRequest {
             job,
-            value,
+            value: assessed.value,
             cost_weight,
             submitted_at: now,
             objective_at: now + request.objective_remaining_ms,
             deadline_at: now + request.remaining_ms,
-            min_latency_ms: self.min_latency_ms(&request),
+            min_latency_ms: self.min_latency_ms(&request, request.kind.prompt_tokens()),
             work_ms: self.work_ms(&request),
             excess: 0.0,
+            lane: self
+                .queue
+                .lane(&request.service, &request.route, value_density),
+            is_late: request.objective_remaining_ms < 0.0,
+            returned: false,
             request,
         }
     }
 
     /// Removes a request whose client or daemon has disconnected.
     pub fn cancel(&mut self, now: f64, job: job::JobId) {
-        self.queue.remove(job);
+        self.queue.remove(now, job);
         self.end(now, job, &health::HealthSignal::Inconclusive.into());
     }
 
@@ -389,15 +402,40 @@
             .retain(|_, state| state.listed || !state.jobs.is_empty());
     }
 
-    /// Decides on waiting requests.
+    /// Decides on each waiting request.
     fn decide_waiting(&mut self, now: f64) {
-        for (position, request) in self.queue.take().into_iter().enumerate() {
-            let deferred = position >= MAX_EVALUATED_PER_TICK
-                && now + request.min_latency_ms < request.deadline_at;
-            if deferred || !self.try_decide(now, &request) {
-                self.queue.push(request);
+        self.queue.begin_round(now);
+        let requests = self.queue.take(now);
+        let mut walk = queue::RoundWalk::new(&requests);
+        for waiting in requests {
+            let place = walk.reach(&waiting);
+            let is_searched = walk.is_promising(&waiting) && self.queue.try_search(now);
+            let is_decided = match is_searched {
+                true => self.try_decide(now, &waiting, place),
+                false => self.decline_hopeless(now, &waiting, place),
+            };
+            if !is_decided {
+                walk.keep(&waiting, is_searched);
+                self.queue.push(now, waiting);
             }
         }
+        self.queue.finish_round(now);
+    }
+
+    /// Returns and clears the refusals under load since the last call.
+    pub fn take_refusals(&mut self) -> Vec<queue::LoadRefusal> {
+        std::mem::take(&mut self.refusals)
+    }
+
+    /// Returns the number of plan searches since the current round began.
+    pub fn searches_in_round(&self) -> usize {
+        self.queue.searches()
+    }
+
+    /// Returns the queue of each service.
+    pub fn service_queues(&self, now: f64) -> Vec<queue::ServiceQueue> {
+        self.queue
+            .service_queues(|service| self.configured_rate(now, service))
     }
 
     /// Returns and clears the decisions made since the last call.
@@ -421,7 +459,12 @@
     }
 
     /// Places or declines a request; returns `false` if it has to wait.
-    fn try_decide(&mut self, now: f64, waiting: &state::WaitingRequest) -> bool {
+    fn try_decide(
+        &mut self,
+        now: f64,
+        waiting: &state::WaitingRequest,
+        place: queue::QueuePlace,
+    ) -> bool {
         let slack_ms = waiting.objective_at - now - waiting.min_latency_ms;
         let waited_ms = now - waiting.submitted_at;
         let selective_ms = SELECTIVITY_DECAY_SHARE * waiting.request.full_objective_ms;
@@ -430,7 +473,8 @@
         } else {
             0.0
         };
-        let min_gain = MIN_GAIN_SHARE * selectivity.max(0.0) * waiting.value;
+        let min_gain_share = MIN_GAIN_SHARE * selectivity.max(0.0);
+        let min_gain = min_gain_share.max(place.min_gain_share(waiting)) * waiting.value;
         let scored_plan = match self.best_plan(now, waiting, min_gain) {
             Ok(scored_plan) => scored_plan.filter(|_| {
                 !self
@@ -447,17 +491,63 @@
             for member in scored_plan.plan.members() {
                 self.rate_limits.record_placement(now, &member.endpoint);
             }
+            self.queue.record_placement(now, waiting);
             self.place(now, waiting, scored_plan.usages, predicted_ms);
             let decision = job::PlacementDecision::Placed(scored_plan.plan);
             self.decisions.push((waiting.job, decision));
             return true;
         }
-        let next_at = self.next_turn_at(&waiting.request).max(now);
-        let unservable = waiting.is_unservable(next_at);
-        if unservable {
-            self.decline_until(waiting.job, job::DeclineReason::Overloaded, next_at - now);
+        self.decline_hopeless(now, waiting, place)
+    }
+
+    /// Declines a request that won't be placed in time; returns `false` if it may be.
+    fn decline_hopeless(
+        &mut self,
+        now: f64,
+        waiting: &state::WaitingRequest,
+        place: queue::QueuePlace,
+    ) -> bool {
+        let turn_ms = self.next_turn_at(&waiting.request).max(now) - now;
+        let service = &waiting.request.service;
+        let configured = self.configured_rate(now, service);
+        let backlogs = self.available(service).map(|(_, state)| state);
+        let backlogs = backlogs.map(|state| state.pass_model.backlog_ms(now));
+        let backlogs: Vec<f64> = backlogs.collect();
+        let queued_ms = self
+            .queue
+            .predicted_wait_ms(waiting.lane, place, configured);
+        let least_ms = match prompt_search::max_members(waiting.request.kind.prompt_tokens()) {
+            1 => backlogs.iter().copied().fold(f64::MAX, f64::min),
+            // Its parts go ahead of what is queued on the engines.
+            _ => 0.0,
+        };
+        let wait_ms = queued_ms.max(turn_ms).max(least_ms) + self.queue.lag_ms();
+        if !waiting.is_unservable(now + wait_ms) {
+            return false;
         }
-        unservable
+        let mean_ms = backlogs.iter().sum::<f64>() / backlogs.len().max(1) as f64;
+        let refusal = self
+            .queue
+            .refuse(now, waiting, place, configured, turn_ms.max(mean_ms));
+        let decision = job::PlacementDecision::Declined {
+            reason: job::DeclineReason::Overloaded,
+            retry_after_ms: refusal.retry_after_ms.ceil() as u64,
+        };
+        self.decisions.push((waiting.job, decision));
+        self.refusals.push(refusal);
+        true
+    }
+
+    /// Returns the engine time per ms of the endpoints of a service that accept work, or their slots
+    /// if it is a plain service.
+    fn configured_rate(&self, now: f64, service: &ids::ServiceId) -> f64 {
+        let profile = self.services.get(service);
+        let is_engine = profile.is_some_and(|profile| profile.engine.is_some());
+        let endpoints = self.available(service).map(|(_, state)| match is_engine {
+            true => 1.0 / state.slowdown.factor(now),
+            false => f64::from(state.live.slots),
+        });
+        endpoints.sum()
     }
 
     /// Returns the time from which the limits let one of the endpoints that a request may run on
@@ -472,20 +562,14 @@
         turns.min_by(f64::total_cmp).unwrap_or(f64::NEG_INFINITY)
     }
 
+    /// Declines a request for another reason than load.
     fn decline(&mut self, job: job::JobId, reason: job::DeclineReason) {
-        self.decline_until(job, reason, 0.0);
-    }
-
-    /// Declines a request that can't be placed for `turn_ms`.
-    fn decline_until(&mut self, job: job::JobId, reason: job::DeclineReason, turn_ms: f64) {
         let (shortest, longest) = RETRY_AFTER_RANGE_MS;
         // Spreads the retries of clients that were declined at the same time.
         let jitter = job.number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
-        let retry_after_ms = shortest + jitter % (longest - shortest);
-        let retry_after_ms = retry_after_ms.max(turn_ms.ceil() as u64);
         let decision = job::PlacementDecision::Declined {
             reason,
-            retry_after_ms,
+            retry_after_ms: shortest + jitter % (longest - shortest),
         };
         self.decisions.push((job, decision));
     }
@@ -511,11 +595,12 @@
         weight.clamp(0.0, 1.0)
     }
 
-    fn min_latency_ms(&self, request: &job::PlacementRequest) -> f64 {
+    /// Returns the time to the first event of a request with a prompt of `tokens` on idle endpoints, ms.
+    fn min_latency_ms(&self, request: &job::PlacementRequest, tokens: u64) -> f64 {
         let engine = self.services.get(&request.service);
         let engine = engine.and_then(|profile| profile.engine.as_ref());
         match (request.kind, engine) {
-            (job::JobKind::Prompt { tokens, .. }, Some(profile)) => {
+            (job::JobKind::Prompt { .. }, Some(profile)) => {
                 let available = self.available(&request.service).count().max(1);
                 let members = prompt_search::max_members(tokens).min(available);
                 engine::prefill_ms(profile, tokens, members)
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -18,6 +18,9 @@
 
 /// Time for which a request may wait past its objective, as a share of the objective.
 const LATE_WAIT_SHARE: f64 = 0.1;
+/// Time for which a request may wait that was past its objective when it came, as a share of the
+/// objective.
+const LATE_RETURN_WAIT_SHARE: f64 = 0.15;
 
 /// Share of an engine's memory that the placer allocates; the rest covers responses that are longer
 /// than estimated.
@@ -103,13 +106,33 @@
     pub work_ms: f64,
     /// How far its customer is above its share; zero within it, and without customers.
     pub excess: f64,
+    /// Lane of its route in the queue.
+    pub lane: usize,
+    /// Whether it couldn't be on time when it was submitted, so that it may be late.
+    pub is_late: bool,
+    /// Whether its client was refused before and returns at the time that it was told.
+    pub returned: bool,
 }
 
 impl WaitingRequest {
-    /// Returns whether no plan can serve it any more.
+    /// Returns the time at which its first event must come for it to be worth serving.
+    pub fn useful_until(&self) -> f64 {
+        let client_leaves_at = self.submitted_at + self.request.abandon_after_ms;
+        let least = self.deadline_at.min(client_leaves_at);
+        match self.is_late {
+            true => least,
+            false => {
+                let late_wait_ms = LATE_WAIT_SHARE * self.request.full_objective_ms;
+                least.min(self.objective_at + late_wait_ms)
+            }
+        }
+    }
+
+    /// Returns whether no plan can serve it any more, or it has waited too long for one.
     pub fn is_unservable(&self, now: f64) -> bool {
-        let late_until = self.objective_at + LATE_WAIT_SHARE * self.request.full_objective_ms;
-        now + self.min_latency_ms > late_until.min(self.deadline_at)
+        let late_wait_ms = LATE_RETURN_WAIT_SHARE * self.request.full_objective_ms;
+        let waited_too_long = self.is_late && now > self.submitted_at + late_wait_ms;
+        waited_too_long || now + self.min_latency_ms > self.useful_until()
     }
 }
 
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Loads and simulation shared by the tests.
 
+pub mod clients;
 pub mod engine;
 pub mod profiles;
 pub mod simulation;
