Queue: order by own value and serve late ones while few wait

While fewer than eight of a route wait, a request was refused at once if the least backlog made it late, though a late answer had a place, and a returning one went before all of its density doubled. Change: while few wait, the order is by each request's own value density, and one that will be late is refused at once only if no plan gains anything; a returning one goes before equal ones only.

--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -272,20 +272,22 @@
             cost_weight = self.cost_weight(&request.service, tokens, &assessed);
         }
         let typical_ms = self.min_latency_ms(&request, assessed.class_prompt_tokens);
-        let value_density = assessed.class_value / typical_ms.max(1.0);
+        let class_density = assessed.class_value / typical_ms.max(1.0);
+        let min_latency_ms = self.min_latency_ms(&request, request.kind.prompt_tokens());
         state::WaitingRequest {
             job,
             value: assessed.value,
             cost_weight,
+            value_density: assessed.value / (cost_weight * min_latency_ms).max(1.0),
             submitted_at: now,
             objective_at: now + request.objective_remaining_ms,
             deadline_at: now + request.remaining_ms,
-            min_latency_ms: self.min_latency_ms(&request, request.kind.prompt_tokens()),
+            min_latency_ms,
             work_ms: self.work_ms(&request),
             excess: 0.0,
             lane: self
                 .queue
-                .lane(&request.service, &request.route, value_density),
+                .lane(&request.service, &request.route, class_density),
             is_late: request.objective_remaining_ms < 0.0,
             returned: false,
             request,
@@ -538,8 +540,18 @@
             // Its parts go ahead of what is queued on the engines.
             _ => 0.0,
         };
-        let wait_ms = queued_ms.max(turn_ms).max(least_ms) + self.queue.lag_ms();
-        if !waiting.is_unservable(now + wait_ms) {
+        let crowd_ms = match place.is_predictable() {
+            true => queued_ms.max(least_ms),
+            false => 0.0,
+        };
+        let wait_ms = turn_ms.max(crowd_ms) + self.queue.lag_ms();
+        let is_late = waiting.is_unservable(now + wait_ms);
+        // While few wait, a place goes also to a request that will be late.
+        let is_hopeless = || {
+            waiting.is_unservable(now + least_ms)
+                && matches!(self.best_plan(now, waiting, 0.0), Ok(None))
+        };
+        if !is_late && !is_hopeless() {
             return false;
         }
         let mean_ms = backlogs.iter().sum::<f64>() / backlogs.len().max(1) as f64;
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -30,8 +30,6 @@
 const MAX_LAG_MS: f64 = 100.0;
 /// Least engine time per ms by which a wait is predicted.
 const MIN_RATE: f64 = 1e-6;
-/// Factor on the value density of a request whose client returns at the time that it was told.
-const RETURN_FACTOR: f64 = 2.0;
 
 /// Waiting requests of one lane.
 #[derive(Clone, Copy, Debug, Default)]
@@ -430,22 +428,31 @@
 #[derive(Clone, Copy, Debug)]
 struct QueueRank {
     excess: f64,
-    /// Value per engine time of the requests of its route, weighed by whether it returns or is late.
+    /// Value per engine time, weighed by whether it is late: its own while few of its route wait, and
+    /// that of its route otherwise.
     density: f64,
+    /// Whether its client doesn't return from a refusal.
+    is_new: bool,
     lot: u64,
 }
 
 impl QueueRank {
     fn new(waiting: &state::WaitingRequest, lane: &QueueLane) -> Self {
         let factor = match waiting {
-            waiting if waiting.returned => RETURN_FACTOR,
+            waiting if waiting.returned => 1.0,
             waiting if waiting.is_late && !waiting.request.is_retry => value::LATE_VALUE_SHARE,
             _ => 1.0,
         };
+        let is_crowded = lane.waiting.count >= MIN_PREDICTED;
+        let density = match is_crowded {
+            true => lane.value_density,
+            false => waiting.value_density,
+        };
         let job = waiting.job;
         Self {
             excess: waiting.excess,
-            density: factor * lane.value_density,
+            density: factor * density,
+            is_new: !waiting.returned,
             // By size, the same requests of a route would always be served. By age, all would have
             // waited as long as they can once they are placed.
             lot: (job.number ^ job.incarnation).wrapping_mul(0x9E37_79B9_7F4A_7C15),
@@ -457,7 +464,11 @@
     fn cmp(&self, other: &Self) -> cmp::Ordering {
         let by_excess = self.excess.total_cmp(&other.excess);
         let by_density = other.density.total_cmp(&self.density);
-        by_excess.then(by_density).then(self.lot.cmp(&other.lot))
+        let by_return = self.is_new.cmp(&other.is_new);
+        by_excess
+            .then(by_density)
+            .then(by_return)
+            .then(self.lot.cmp(&other.lot))
     }
 }
 
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -97,6 +97,8 @@
     pub value: f64,
     /// Weight of its costs when plans are compared; see `JobPlacer::cost_weight`.
     pub cost_weight: f64,
+    /// Value per ms of its weighed cost on idle endpoints.
+    pub value_density: f64,
     pub submitted_at: f64,
     pub objective_at: f64,
     pub deadline_at: f64,
