--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -19,6 +19,8 @@
 
 pub const KEY: &str = "key-1";
 const LOG_FILE: &str = "daemon.log";
+/// The daemon of this build.
+pub const PROGRAM: &str = "sardinepaddled";
 /// Longest wait for a condition that normally holds within milliseconds.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -69,7 +71,7 @@
 
     /// Starts the daemon of a host that reaches the store at an address.
     pub fn start_with_store(store: net::SocketAddr, host: &str) -> Self {
-        let daemon = Self::spawn_with(store, host, 1.0);
+        let daemon = Self::spawn_with(store, host, 1.0, PROGRAM);
         let clients = daemon.clients;
         Self::wait_for("the client listener", || {
             net::TcpStream::connect(clients).is_ok()
@@ -79,10 +81,11 @@
 
     /// Starts the daemon of a host with a share of a core, without waiting for it.
     pub fn start_at_once(store: &FakeObjectStore, host: &str, cpu_share: f64) -> Self {
-        Self::spawn_with(store.address(), host, cpu_share)
+        Self::spawn_with(store.address(), host, cpu_share, PROGRAM)
     }
 
-    fn spawn_with(store: net::SocketAddr, host: &str, cpu_share: f64) -> Self {
+    /// Starts the daemon of a host with a share of a core and a program, without waiting for it.
+    pub fn spawn_with(store: net::SocketAddr, host: &str, cpu_share: f64, program: &str) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
@@ -94,7 +97,7 @@
         );
         std::fs::write(&path, text).unwrap();
         Self {
-            process: Self::spawn(&files),
+            process: Self::spawn(&files, program),
             clients,
             readiness,
             metrics,
@@ -105,14 +108,19 @@
     /// Kills the daemon and starts it again with the same addresses.
     pub fn restart(&mut self) {
         self.process.kill();
-        self.process = Self::spawn(&self.files);
+        self.start_again(PROGRAM);
     }
 
-    fn spawn(files: &tempfile::TempDir) -> process::TestProcess {
+    /// Starts a program on the host of a daemon that has ended, with the same addresses.
+    pub fn start_again(&mut self, program: &str) {
+        self.process = Self::spawn(&self.files, program);
+    }
+
+    fn spawn(files: &tempfile::TempDir, program: &str) -> process::TestProcess {
         let settings = files.path().join("settings.yaml").display().to_string();
         let args = ["--behind-platform", "--settings", &settings];
         let log = files.path().join(LOG_FILE);
-        process::TestProcess::start("sardinepaddled", args, &log).unwrap()
+        process::TestProcess::start(program, args, &log).unwrap()
     }
 
     /// Waits until a condition holds; panics after `WAIT_TIMEOUT`.
