--- a/crates/daemon/tests/mixed_builds/earlier_build.rs
+++ b/crates/daemon/tests/mixed_builds/earlier_build.rs
@@ -76,7 +76,8 @@
         .args([&archive])
         .arg(COMMIT));
     let mut tar = process::Command::new("tar");
-    run(tar.arg("-xf").arg(&archive).arg("-C").arg(&partial));
+    // With the present as the time of change, so that cargo builds anew what it built of others.
+    run(tar.arg("-xmf").arg(&archive).arg("-C").arg(&partial));
     replace(
         &partial.join("crates/daemon/Cargo.toml"),
         "name = \"sardinepaddled\"",
--- a/crates/daemon/tests/mixed_builds/main.rs
+++ b/crates/daemon/tests/mixed_builds/main.rs
@@ -2,6 +2,7 @@
 //! after the other. The earlier build is made from the repository's history.
 
 mod earlier_build;
+mod power_loss;
 #[path = "../behind_platform/support.rs"]
 #[allow(dead_code, reason = "each test program uses a different part")]
 mod support;
@@ -56,6 +57,14 @@
     (placer, follower)
 }
 
+/// Checks that a daemon has had its requests placed by its placer since it selected it.
+fn check_placed_remotely(follower: &RunningDaemon) {
+    let log = follower.log();
+    for event in ["placing locally", "connection to the placer lost"] {
+        assert!(!log.contains(event), "{event}: {log}");
+    }
+}
+
 /// Returns how often the endpoints received each request, by its id.
 fn arrivals(endpoints: &[FakeEndpoint]) -> collections::BTreeMap<String, usize> {
     let mut arrivals = collections::BTreeMap::new();
@@ -105,6 +114,7 @@
     let arrivals = arrivals(&endpoints);
     assert_eq!(arrivals.len(), 30);
     assert!(arrivals.values().all(|count| *count == 1), "{arrivals:?}");
+    check_placed_remotely(&follower);
 }
 
 async fn check_retries(placer_build: DaemonBuild) {
@@ -126,6 +136,7 @@
         };
         assert!(count <= most, "{id}: {count}");
     }
+    check_placed_remotely(&follower);
 }
 
 async fn check_refusals(placer_build: DaemonBuild) {
@@ -159,6 +170,7 @@
         let response = follower.call("GET /safe/ HTTP/1.1", "gone");
         response.status == 503 && retry_after_s(&response).is_some_and(|delay| delay > 0.0)
     });
+    check_placed_remotely(&follower);
 }
 
 #[tokio::test(flavor = "multi_thread")]
