Hedge slow requests that may be repeated, within a limit of operators

A few slow answers spoil the tail although other endpoints have room. A daemon now asks for a second attempt once a response has become unlikely; the placer grants it within a share of extra work that the settings set (`hedging`, off by default), the retry budget and the route's attempts. Decided in pool::hedge; the loser is ended at once. behind_platform/hedging.rs was seen failing before the gateway asked for hedges: the response came after 900 ms and more. 8 tests of it pass.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -4,6 +4,7 @@
 mod crashing_requests;
 mod cut_off;
 mod endpoint_notices;
+mod hedging;
 mod placer_selection;
 mod rate_limits;
 mod raw_responses;
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -69,7 +69,16 @@
 
     /// Starts the daemon of a host that reaches the store at an address.
     pub fn start_with_store(store: net::SocketAddr, host: &str) -> Self {
-        let daemon = Self::spawn_with(store, host, 1.0);
+        Self::start_at(store, host, "")
+    }
+
+    /// Starts the daemon of a host with lines added to its settings.
+    pub fn start_with_settings(store: &FakeObjectStore, host: &str, lines: &str) -> Self {
+        Self::start_at(store.address(), host, lines)
+    }
+
+    fn start_at(store: net::SocketAddr, host: &str, lines: &str) -> Self {
+        let daemon = Self::spawn_with(store, host, lines);
         let clients = daemon.clients;
         Self::wait_for("the client listener", || {
             net::TcpStream::connect(clients).is_ok()
@@ -79,17 +88,18 @@
 
     /// Starts the daemon of a host with a share of a core, without waiting for it.
     pub fn start_at_once(store: &FakeObjectStore, host: &str, cpu_share: f64) -> Self {
-        Self::spawn_with(store.address(), host, cpu_share)
+        let line = format!("cpu_share: {cpu_share}\n");
+        Self::spawn_with(store.address(), host, &line)
     }
 
-    fn spawn_with(store: net::SocketAddr, host: &str, cpu_share: f64) -> Self {
+    fn spawn_with(store: net::SocketAddr, host: &str, lines: &str) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
         let text = format!(
             "host: {host}\ndata_centre: a\nlisten: {{ callers: '{clients}', readiness: '{readiness}', \
              peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n\
-             cpu_share: {cpu_share}\n",
+             {lines}",
             store
         );
         std::fs::write(&path, text).unwrap();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,6 +137,8 @@
     /// Whether the endpoint responded.
     pub responded: bool,
     pub reason: &'static str,
+    /// Whether it wasn't sent, as an endpoint of its plan was closed in the meantime.
+    pub is_unsent: bool,
     pub failure: Option<EndpointFailure>,
     /// Set if the placement was declined, in which case there is no retry.
     pub declined: Option<response::LocalResponse>,
@@ -150,6 +152,7 @@
             at_fault: None,
             responded: false,
             reason,
+            is_unsent: false,
             failure: None,
             declined: None,
         }
@@ -177,6 +180,8 @@
     pub lease: JobLease,
     memory: reservations::MemoryLease,
     pub plan: job::PlacementPlan,
+    /// When it was sent, ms since the start of the process.
+    pub sent_at: f64,
     /// Start time of the incarnation of the primary to which it was sent, Unix ms.
     started_ms: u64,
     placed_at: f64,
@@ -204,6 +209,7 @@
             lease,
             memory,
             plan,
+            sent_at: state.now(),
             started_ms,
             placed_at,
             exchange,
@@ -229,6 +235,7 @@
             mut lease,
             memory,
             plan,
+            sent_at: _,
             started_ms,
             placed_at,
             exchange: _,
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -207,12 +207,13 @@
                 Err(error) => Err(error),
             }
         } else {
-            match self.place(lease.job).await {
+            match self.place(lease.job, None).await {
                 Ok(plan) => self.send(lease, plan).await,
                 Err(error) => Err(error),
             }
         };
         match (sent, self.stalled.take()) {
+            (Ok(sent), None) => self.await_hedged(sent).await,
             (Ok(sent), stalled) => self.await_first(sent, stalled).await,
             // No other endpoint is available: keep waiting for the stalled one.
             (Err(error), Some(stalled)) if error.declined.is_some() => {
@@ -267,7 +268,8 @@
         mut stalled: Option<attempt::SentRequest>,
     ) -> Result<attempt::EndpointResponse, attempt::AttemptError> {
         let now = self.request.state.now();
-        let mut timeout_ms = self.first_event_timeout_ms(&sent.plan);
+        let timeout_ms = self.first_event_timeout_ms(&sent.plan);
+        let mut timeout_ms = timeout_ms - (now - sent.sent_at);
         if self.may_retry() {
             timeout_ms = timeout_ms.min(sent.patience_ms(now));
         }
@@ -319,6 +321,149 @@
         }
     }
 
+    /// Waits for the response of an attempt, and makes a second one beside it if that is allowed and
+    /// the response is late.
+    async fn await_hedged(
+        &mut self,
+        mut sent: attempt::SentRequest,
+    ) -> Result<attempt::EndpointResponse, attempt::AttemptError> {
+        let Some(after_ms) = self.hedge_after_ms(&sent.plan) else {
+            return self.await_first(sent, None).await;
+        };
+        let hedge = {
+            let hedge = self.hedge(&sent.plan, after_ms);
+            tokio::pin!(hedge);
+            tokio::select! {
+                biased;
+                reply = sent.exchange.as_mut() => Err(reply),
+                hedge = &mut hedge => Ok(hedge),
+            }
+        };
+        match hedge {
+            Err(reply) => self.finish_exchange(sent, reply).await,
+            Ok(Some(second)) => self.await_either(sent, second).await,
+            Ok(None) => self.await_first(sent, None).await,
+        }
+    }
+
+    /// Returns the time after which an attempt should get another one beside it, ms, if the request
+    /// may run there as well.
+    fn hedge_after_ms(&self, plan: &job::PlacementPlan) -> Option<f64> {
+        let request = &self.request;
+        let route_match = &request.route_match;
+        let may_run_twice = route_match.route.retry_safety.is_retryable()
+            && self.possible_runs + 2 <= route_match.route.max_attempts;
+        let is_forwarded = self.is_forwarded || request.hints.forwarded_runs.is_some();
+        if !may_run_twice || is_forwarded || self.last_event.is_some() {
+            return None;
+        }
+        let after_ms = request
+            .state
+            .hedge_after_ms(&route_match.service, plan.predicted_ms)?;
+        (after_ms < self.first_event_timeout_ms(plan)).then_some(after_ms)
+    }
+
+    /// Sends a second attempt after a time, if the placer finds an endpoint for it.
+    async fn hedge(
+        &self,
+        first: &job::PlacementPlan,
+        after_ms: f64,
+    ) -> Option<attempt::SentRequest> {
+        time::sleep(millis::to_duration(after_ms)).await;
+        let state = &self.request.state;
+        let request = &self.request.hints.attempt_id;
+        let mut lease = attempt::JobLease::new(state);
+        let placed = self.place(lease.job, Some(first)).await;
+        let placed_at = state.now();
+        let prepared = match placed {
+            Ok(plan) => match self.prepare(lease.job, &plan).await {
+                Ok(memory) => Ok((plan, memory)),
+                Err(error) => Err(error),
+            },
+            Err(error) => Err(error),
+        };
+        let (plan, memory) = match prepared {
+            Ok(prepared) => prepared,
+            Err(error) => {
+                let declined = error.declined;
+                let reason = declined.map_or(error.reason, response::LocalResponse::reason);
+                state.metrics.hedge("declined", reason);
+                log::info!(target: "sardinepaddle", request, job = lease.job.number, reason;
+                    "no second attempt");
+                lease.end_failed(&error);
+                return None;
+            }
+        };
+        state.metrics.hedge("sent", "late");
+        log::info!(target: "sardinepaddle", request, job = lease.job.number,
+            endpoint:% = plan.primary.endpoint, beside:% = first.primary.endpoint, after_ms,
+            first_predicted_ms = first.predicted_ms, predicted_ms = plan.predicted_ms;
+            "request hedged");
+        let sent = attempt::SentRequest::start(
+            &self.request,
+            lease,
+            memory,
+            plan,
+            placed_at,
+            self.last_event,
+        );
+        Some(sent)
+    }
+
+    /// Waits for the first sound response of two attempts, and ends the other one. If one of them
+    /// fails, the other goes on.
+    async fn await_either(
+        &mut self,
+        mut first: attempt::SentRequest,
+        mut second: attempt::SentRequest,
+    ) -> Result<attempt::EndpointResponse, attempt::AttemptError> {
+        self.attempts += 1;
+        self.possible_runs += 1;
+        let remaining = millis::to_duration(self.request.remaining_ms());
+        let (reply, is_second) = tokio::select! {
+            reply = first.exchange.as_mut() => (reply, false),
+            reply = second.exchange.as_mut() => (reply, true),
+            () = time::sleep(remaining) => {
+                drop(second);
+                return self.await_first(first, None).await;
+            }
+        };
+        let (responded, mut other) = match is_second {
+            true => (second, first),
+            false => (first, second),
+        };
+        let outcome = if is_second { "won" } else { "lost" };
+        match self.finish_exchange(responded, reply).await {
+            Ok(response) => {
+                self.request.state.metrics.hedge(outcome, "response");
+                other.lease.end(health::HealthSignal::Inconclusive.into());
+                self.excluded.push(other.plan.primary.endpoint.clone());
+                log::info!(target: "sardinepaddle", request = self.request.hints.attempt_id,
+                    endpoint:% = response.attempt.plan.primary.endpoint,
+                    ended:% = other.plan.primary.endpoint, outcome; "hedge decided");
+                Ok(response)
+            }
+            Err(error) => {
+                self.record_hedged_error(error);
+                self.await_first(other, None).await
+            }
+        }
+    }
+
+    /// Records that one of two attempts failed while the other goes on.
+    fn record_hedged_error(&mut self, error: attempt::AttemptError) {
+        self.request.state.metrics.attempt(error.reason);
+        log::info!(target: "sardinepaddle", request = self.request.hints.attempt_id,
+            reason = error.reason; "hedged attempt failed");
+        match error.execution {
+            attempts::ExecutionStatus::NotRun => self.possible_runs -= 1,
+            attempts::ExecutionStatus::MayHaveRun => self.may_have_run = true,
+        }
+        if error.failure.is_some() {
+            self.failure = error.failure;
+        }
+    }
+
     async fn await_stalled(
         &mut self,
         mut stalled: attempt::SentRequest,
@@ -357,7 +502,12 @@
         self.excluded.push(excluded.clone());
     }
 
-    async fn place(&self, job: job::JobId) -> Result<job::PlacementPlan, attempt::AttemptError> {
+    /// Requests a placement, beside the attempt with plan `first` if there is one.
+    async fn place(
+        &self,
+        job: job::JobId,
+        first: Option<&job::PlacementPlan>,
+    ) -> Result<job::PlacementPlan, attempt::AttemptError> {
         let request = &self.request;
         let state = &request.state;
         let service = &request.route_match.service;
@@ -376,7 +526,7 @@
             ));
         }
         let requested_at = state.now();
-        let placement_request = self.placement_request(requested_at);
+        let placement_request = self.placement_request(requested_at, first);
         let decision = time::timeout(
             millis::to_duration(request.remaining_ms()),
             state.place(job, placement_request),
@@ -400,10 +550,12 @@
                 reason,
                 retry_after_ms,
             })) => {
-                state.metrics.placement(reason.name(), waited);
-                log::info!(target: "sardinepaddle", request = request.hints.attempt_id,
-                    job = job.number, reason = reason.name(), retry_after_ms,
-                    waited_ms = waited, data_age_ms = state.data_age(); "request declined");
+                if first.is_none() {
+                    state.metrics.placement(reason.name(), waited);
+                    log::info!(target: "sardinepaddle", request = request.hints.attempt_id,
+                        job = job.number, reason = reason.name(), retry_after_ms,
+                        waited_ms = waited, data_age_ms = state.data_age(); "request declined");
+                }
                 Err(attempt::AttemptError::declined(
                     response::LocalResponse::NotRun {
                         reason: reason.name(),
@@ -423,7 +575,11 @@
         }
     }
 
-    fn placement_request(&self, now: f64) -> job::PlacementRequest {
+    fn placement_request(
+        &self,
+        now: f64,
+        first: Option<&job::PlacementPlan>,
+    ) -> job::PlacementRequest {
         let request = &self.request;
         let route = &request.route_match.route;
         let full_objective_ms = millis::from_duration(route.latency_objective);
@@ -436,6 +592,8 @@
         };
         let mut excluded = self.excluded.clone();
         excluded.extend(request.state.quiet_endpoints(&request.route_match.service));
+        let first_members = first.into_iter().flat_map(job::PlacementPlan::members);
+        excluded.extend(first_members.map(|member| member.endpoint.clone()));
         job::PlacementRequest {
             route: route.name.clone(),
             service: request.route_match.service.clone(),
@@ -451,8 +609,9 @@
             shared_parts: request.hints.shared_parts.clone(),
             digest: Some(request.digest),
             customer: request.route_match.customer.clone(),
-            is_hedge: false,
-            is_retry: self.possible_runs > 0 || self.attempts > self.unsent,
+            is_hedge: first.is_some(),
+            // For placers that don't know hedges.
+            is_retry: first.is_some() || self.possible_runs > 0 || self.attempts > self.unsent,
         }
     }
 
@@ -468,6 +627,7 @@
         let memory = match self.prepare(lease.job, &plan).await {
             Ok(memory) => memory,
             Err(error) => {
+                self.unsent += u32::from(error.is_unsent);
                 self.exclude_failed(&plan.primary.endpoint, &error);
                 lease.end_failed(&error);
                 return Err(error);
@@ -481,13 +641,13 @@
 
     /// Reserves the memory that a plan needs, if all its endpoints may get requests.
     async fn prepare(
-        &mut self,
+        &self,
         job: job::JobId,
         plan: &job::PlacementPlan,
     ) -> Result<reservations::MemoryLease, attempt::AttemptError> {
         let request = self.request.clone();
         if let Some(endpoint) = self.closed_member(plan) {
-            return Err(self.unsent_error(endpoint));
+            return Err(Self::unsent_error(endpoint));
         }
         let (state, upstreams) = (&request.state, &request.upstreams);
         let memory = reservations::MemoryLease::reserve(state, upstreams, job, &plan.helpers);
@@ -500,7 +660,7 @@
             return Err(error);
         }
         match self.closed_member(plan) {
-            Some(endpoint) => Err(self.unsent_error(endpoint)),
+            Some(endpoint) => Err(Self::unsent_error(endpoint)),
             None => Ok(memory),
         }
     }
@@ -514,9 +674,9 @@
     }
 
     /// Returns the error of an attempt that is not sent, as an endpoint of its plan is closed.
-    fn unsent_error(&mut self, closed: ids::EndpointId) -> attempt::AttemptError {
-        self.unsent += 1;
+    fn unsent_error(closed: ids::EndpointId) -> attempt::AttemptError {
         attempt::AttemptError {
+            is_unsent: true,
             at_fault: Some(closed),
             ..attempt::AttemptError::not_run(health::HealthSignal::Inconclusive, "endpoint_left")
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,9 @@
     requests: api::Counter<u64>,
     placements: api::Counter<u64>,
     attempts: api::Counter<u64>,
+    hedges: api::Counter<u64>,
+    hedge_refusals: api::Counter<u64>,
+    hedge_extra_share: api::Gauge<f64>,
     store_calls: api::Counter<u64>,
     peer_messages: api::Counter<u64>,
     first_event: api::Histogram<f64>,
@@ -49,6 +52,17 @@
             requests: counter("requests", "Requests by outcome and reason"),
             placements: counter("placements", "Verdicts on where requests run, by outcome"),
             attempts: counter("attempts", "Attempts on endpoints by how they ended"),
+            hedges: counter("hedges", "Second attempts beside slow ones, by outcome"),
+            hedge_refusals: counter(
+                "hedge_refusals",
+                "Second attempts that this daemon declined as the placer, by reason",
+            ),
+            hedge_extra_share: meter
+                .f64_gauge("hedge_extra_share")
+                .with_description(
+                    "Work of second attempts as a share of the work of all requests placed here",
+                )
+                .build(),
             store_calls: counter("store_calls", "Calls to the store by kind and outcome"),
             peer_messages: counter("peer_messages", "Messages to other daemons"),
             first_event: histogram(
@@ -117,6 +131,27 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts what became of a second attempt.
+    pub fn hedge(&self, outcome: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("reason", reason),
+        ];
+        self.hedges.add(1, &labels);
+    }
+
+    /// Counts a second attempt that the placer declined.
+    pub fn hedge_refusal(&self, reason: &'static str) {
+        self.hedge_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the extra work of a service's second attempts.
+    pub fn hedge_extra_share(&self, service: &str, share: f64) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.hedge_extra_share.record(share, &labels);
+    }
+
     /// Records the time from arrival to the first event, and the error of the predicted time from
     /// placement to the first event.
     pub fn first_event(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -169,7 +169,7 @@
     match gateway::parse(&path.display().to_string(), &text) {
         Ok(settings) => {
             logs::set_level(&settings.log_level);
-            *state.settings.borrow_mut() = rc::Rc::new(settings);
+            state.set_settings(settings);
             log::info!(target: "sardinepaddle", changed = 1; "settings reloaded");
         }
         Err(error) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use platform::catalog;
 use platform::headers;
 use pool::crashes;
+use pool::hedge;
 use pool::job;
 use pool::limits;
 use pool::placer;
@@ -134,6 +135,15 @@
     pub active_requests: cell::Cell<usize>,
 }
 
+fn hedge_limits(settings: &gateway::GatewaySettings) -> hedge::HedgeLimits {
+    let hedging = &settings.hedging;
+    let services = hedging.services.iter();
+    hedge::HedgeLimits {
+        max_extra_share: hedging.max_extra_share,
+        services: services.map(|(id, share)| (id.clone(), *share)).collect(),
+    }
+}
+
 impl DaemonState {
     /// Creates the state of a daemon that has read nothing from the store.
     pub fn new(
@@ -149,6 +159,8 @@
             cold_factor: bounds.cold_factor,
             cold_extra: bounds.cold_extra,
         };
+        let mut placer = placer::JobPlacer::new(bounds);
+        placer.set_hedge_limits(hedge_limits(&settings));
         Self {
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             clock: clock::MonotonicClock::start(),
@@ -156,7 +168,7 @@
             metrics,
             log,
             cache: cell::RefCell::new(store_cache::StoreCache::new()),
-            placer: cell::RefCell::new(placer::JobPlacer::new(bounds)),
+            placer: cell::RefCell::new(placer),
             rank: cell::RefCell::new(rank::DaemonRank::default()),
             placer_location: cell::RefCell::new(PlacerLocation::Local),
             pending: cell::RefCell::default(),
@@ -189,6 +201,20 @@
         self.settings.borrow().clone()
     }
 
+    /// Replaces the settings.
+    pub fn set_settings(&self, settings: gateway::GatewaySettings) {
+        let limits = hedge_limits(&settings);
+        self.placer.borrow_mut().set_hedge_limits(limits);
+        *self.settings.borrow_mut() = rc::Rc::new(settings);
+    }
+
+    /// Returns the time after which an attempt should get another one beside it, ms; `None` if the
+    /// service has no hedges.
+    pub fn hedge_after_ms(&self, service: &ids::ServiceId, predicted_ms: f64) -> Option<f64> {
+        let placer = self.placer.borrow();
+        placer.hedges().after_ms(service, predicted_ms)
+    }
+
     /// Returns the time since the start of the process, ms.
     pub fn now(&self) -> f64 {
         self.clock.now()
@@ -652,6 +678,9 @@
         self.metrics.store_era(self.store_era());
         self.metrics.quarantines(self.quarantines.borrow().len());
         self.metrics.cut_off(self.reach.is_cut_off());
+        for (service, share) in self.placer.borrow().hedges().extra_shares() {
+            self.metrics.hedge_extra_share(service.as_str(), share);
+        }
     }
 
     /// Returns a receiver that is notified of changes of the replica.
@@ -800,6 +829,13 @@
 
     /// Delivers the decisions of the local placer.
     fn deliver_decisions(&self) {
+        let refusals = self.placer.borrow_mut().take_hedge_refusals();
+        for (job, refusal) in refusals {
+            let reason = refusal.name();
+            self.metrics.hedge_refusal(reason);
+            log::info!(target: "sardinepaddle", job = job.number, life = job.incarnation, reason;
+                "hedge declined");
+        }
         let decisions = self.placer.borrow_mut().take_decisions();
         for (job, decision) in decisions {
             if job.incarnation == self.incarnation {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod engine;
 pub mod health;
+pub mod hedge;
 pub mod holds;
 pub mod job;
 pub mod limits;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Settings of a daemon behind the users' platform.
 
+use std::collections;
 use std::net;
 use std::path;
 use std::time::Duration;
@@ -41,6 +42,9 @@
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// Second attempts beside slow ones.
+    #[serde(default)]
+    pub hedging: HedgingSettings,
     /// Log level.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -91,6 +95,28 @@
     pub emptied_ms: f64,
 }
 
+/// Second attempts beside slow ones, for requests that may be repeated.
+///
+/// ```
+/// use sardinepaddle_settings::gateway::HedgingSettings;
+/// assert_eq!(HedgingSettings::default().max_extra_share, 0.0);
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct HedgingSettings {
+    /// Extra work as a share of the work of all requests of a service; zero for none.
+    pub max_extra_share: f64,
+    /// Shares of single services, by name.
+    pub services: collections::BTreeMap<ids::ServiceId, f64>,
+}
+
+impl HedgingSettings {
+    fn is_valid(&self) -> bool {
+        let mut shares = self.services.values().chain([&self.max_extra_share]);
+        shares.all(|share| (0.0..=1.0).contains(share))
+    }
+}
+
 impl Default for GatewayBounds {
     /// Returns the bounds of the users' first deployments.
     fn default() -> Self {
@@ -169,6 +195,7 @@
         ("bounds.config_ms", "above 0", bounds.config_ms > 0.0),
         ("bounds.endpoints_ms", "above 0", bounds.endpoints_ms > 0.0),
         ("bounds.emptied_ms", "above 0", bounds.emptied_ms > 0.0),
+        ("hedging", "shares of 0 to 1", settings.hedging.is_valid()),
     ];
     for (field, range, is_valid) in checks {
         if !is_valid {
