--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -268,10 +268,10 @@
         mut stalled: Option<attempt::SentRequest>,
     ) -> Result<attempt::EndpointResponse, attempt::AttemptError> {
         let now = self.request.state.now();
-        let timeout_ms = self.first_event_timeout_ms(&sent.plan);
-        let mut timeout_ms = timeout_ms - (now - sent.sent_at);
+        let mut timeout_ms = self.first_event_timeout_ms(&sent.plan);
         if self.may_retry() {
-            timeout_ms = timeout_ms.min(sent.patience_ms(now));
+            let waited_ms = now - sent.sent_at;
+            timeout_ms = (timeout_ms - waited_ms).min(sent.patience_ms(now));
         }
         let limit = time::sleep(millis::to_duration(timeout_ms));
         tokio::pin!(limit);
@@ -371,6 +371,9 @@
     ) -> Option<attempt::SentRequest> {
         time::sleep(millis::to_duration(after_ms)).await;
         let state = &self.request.state;
+        if state.reach.is_cut_off() {
+            return None;
+        }
         let request = &self.request.hints.attempt_id;
         let mut lease = attempt::JobLease::new(state);
         let placed = self.place(lease.job, Some(first)).await;
@@ -419,13 +422,20 @@
     ) -> Result<attempt::EndpointResponse, attempt::AttemptError> {
         self.attempts += 1;
         self.possible_runs += 1;
-        let remaining = millis::to_duration(self.request.remaining_ms());
+        let now = self.request.state.now();
+        let (first_ms, second_ms) = (first.patience_ms(now), second.patience_ms(now));
+        let limit_ms = first_ms.min(second_ms).min(self.request.remaining_ms());
         let (reply, is_second) = tokio::select! {
             reply = first.exchange.as_mut() => (reply, false),
             reply = second.exchange.as_mut() => (reply, true),
-            () = time::sleep(remaining) => {
-                drop(second);
-                return self.await_first(first, None).await;
+            () = time::sleep(millis::to_duration(limit_ms)) => {
+                let (ended, kept) = match second_ms < first_ms {
+                    true => (second, first),
+                    false => (first, second),
+                };
+                self.may_have_run = true;
+                drop(ended);
+                return self.await_first(kept, None).await;
             }
         };
         let (responded, mut other) = match is_second {
--- a/crates/pool/src/hedge.rs
+++ b/crates/pool/src/hedge.rs
@@ -14,8 +14,9 @@
 /// Quantile of the relative latencies at which a request is hedged. Up to that time most of the late
 /// responses still arrive by themselves.
 const HEDGE_QUANTILE: f64 = 0.98;
-/// Number of latencies below which [`DEFAULT_RATIO`] applies.
-const MIN_SAMPLES: u64 = 50;
+/// Number of latencies below which [`DEFAULT_RATIO`] applies, and after which the quantile is computed
+/// again.
+const SAMPLE_COUNT: u64 = 50;
 /// Relative latency at which a request is hedged while too few latencies are known.
 const DEFAULT_RATIO: f64 = 3.0;
 /// Time by which every latency may vary, ms; it covers the decision of the placer.
@@ -204,6 +205,8 @@
     recent: Histogram<u32>,
     previous: Histogram<u32>,
     recent_since: f64,
+    /// Relative latency at which a request is hedged.
+    hedge_ratio: f64,
 }
 
 impl Default for LatencyRatios {
@@ -212,6 +215,7 @@
             recent: empty_histogram(),
             previous: empty_histogram(),
             recent_since: 0.0,
+            hedge_ratio: DEFAULT_RATIO,
         }
     }
 }
@@ -231,6 +235,16 @@
         }
         let ratio = latency_ms / predicted_ms.max(1.0);
         self.recent.saturating_record((ratio * RATIO_UNIT) as u64);
+        if self.recent.len().is_multiple_of(SAMPLE_COUNT) {
+            self.update_hedge_ratio();
+        }
+    }
+
+    fn update_hedge_ratio(&mut self) {
+        let mut known = self.recent.clone();
+        known.add(&self.previous).expect("the limits are the same");
+        let ratio = known.value_at_quantile(HEDGE_QUANTILE) as f64 / RATIO_UNIT;
+        self.hedge_ratio = ratio.max(1.0);
     }
 
     /// Returns the time after which a response has become unlikely, ms.
@@ -244,12 +258,7 @@
     /// assert!((100.0..200.0).contains(&after_ms));
     /// ```
     pub fn hedge_after_ms(&self, predicted_ms: f64) -> f64 {
-        let mut known = self.recent.clone();
-        if known.add(&self.previous).is_err() || known.len() < MIN_SAMPLES {
-            return DEFAULT_RATIO * predicted_ms + MARGIN_MS;
-        }
-        let ratio = known.value_at_quantile(HEDGE_QUANTILE) as f64 / RATIO_UNIT;
-        ratio.max(1.0) * predicted_ms + MARGIN_MS
+        self.hedge_ratio * predicted_ms + MARGIN_MS
     }
 
     /// Returns the time that a response is still expected to take after `elapsed_ms`, ms: the mean
