--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -71,7 +71,16 @@
 
     /// Starts the daemon of a host that reaches the store at an address.
     pub fn start_with_store(store: net::SocketAddr, host: &str) -> Self {
-        let daemon = Self::spawn_with(store, host, 1.0, PROGRAM);
+        Self::start_at(store, host, "")
+    }
+
+    /// Starts the daemon of a host with lines added to its settings.
+    pub fn start_with_settings(store: &FakeObjectStore, host: &str, lines: &str) -> Self {
+        Self::start_at(store.address(), host, lines)
+    }
+
+    fn start_at(store: net::SocketAddr, host: &str, lines: &str) -> Self {
+        let daemon = Self::spawn_with_settings(store, host, lines, PROGRAM);
         let clients = daemon.clients;
         Self::wait_for("the client listener", || {
             net::TcpStream::connect(clients).is_ok()
@@ -86,13 +95,17 @@
 
     /// Starts the daemon of a host with a share of a core and a program, without waiting for it.
     pub fn spawn_with(store: net::SocketAddr, host: &str, cpu_share: f64, program: &str) -> Self {
+        Self::spawn_with_settings(store, host, &format!("cpu_share: {cpu_share}\n"), program)
+    }
+
+    fn spawn_with_settings(store: net::SocketAddr, host: &str, lines: &str, program: &str) -> Self {
         let files = tempfile::tempdir().unwrap();
         let path = files.path().join("settings.yaml");
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| fleet::free_address());
         let text = format!(
             "host: {host}\ndata_centre: a\nlisten: {{ callers: '{clients}', readiness: '{readiness}', \
              peers: '{peers}', metrics: '{metrics}' }}\nstore: '{}'\nbounds: {{ grace_s: 6 }}\n\
-             cpu_share: {cpu_share}\n",
+             {lines}",
             store
         );
         std::fs::write(&path, text).unwrap();
--- a/crates/pool/src/crash_guard.rs
+++ b/crates/pool/src/crash_guard.rs
@@ -1,6 +1,8 @@
 //! Keeps requests on which endpoints crash from running: gathers the evidence, and applies what is
 //! quarantined.
 
+use model::ids;
+
 use crate::crashes;
 use crate::health;
 use crate::job;
@@ -73,6 +75,11 @@
         self.tracker.tick(now, written_features);
     }
 
+    /// Whether endpoints may crash on the requests with a digest.
+    pub fn is_suspected(&self, now: f64, digest: ids::RequestDigest) -> bool {
+        self.tracker.is_suspected(digest) || self.quarantines.has_ended(now, digest)
+    }
+
     /// Whether a request may crash endpoints, and an identical one still has to show whether it does.
     pub fn awaits_repeat(
         &self,
@@ -83,11 +90,10 @@
         let Some(digest) = request.digest else {
             return false;
         };
-        let tracker = &self.tracker;
-        if !tracker.is_suspected(digest) && !self.quarantines.has_ended(now, digest) {
+        if !self.is_suspected(now, digest) {
             return false;
         }
-        if tracker.is_in_unsettled_crash(digest) {
+        if self.tracker.is_in_unsettled_crash(digest) {
             return true;
         }
         let is_undecided = |job: &state::PlacedJob| {
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::crashes;
 use crate::engine;
 use crate::health;
+use crate::hedge;
 use crate::job;
 use crate::limits;
 use crate::members;
@@ -29,6 +30,8 @@
 use crate::state;
 use crate::value;
 
+mod hedges;
+
 /// Price of a ms of engine time while the engines are idle, in units of a short prompt's value.
 const IDLE_PRICE_PER_MS: f64 = 0.0005;
 /// Mean backlog at which the price is twice the idle price, ms: a fifth of the shortest objective.
@@ -82,6 +85,8 @@
     cold_rate: cold::ColdRate,
     rate_limits: limits::RateLimits,
     crash_guard: crash_guard::CrashGuard,
+    hedges: hedge::HedgeTable,
+    hedge_refusals: Vec<(job::JobId, hedge::HedgeRefusal)>,
     decisions: Vec<(job::JobId, job::PlacementDecision)>,
     refusals: Vec<queue::LoadRefusal>,
 }
@@ -102,6 +107,8 @@
             cold_rate: cold::ColdRate::default(),
             rate_limits: limits::RateLimits::default(),
             crash_guard: crash_guard::CrashGuard::default(),
+            hedges: hedge::HedgeTable::new(bounds.retry_window_ms),
+            hedge_refusals: Vec::new(),
             decisions: Vec::new(),
             refusals: Vec::new(),
         }
@@ -219,19 +226,14 @@
             self.decline_quarantined(job, left_ms);
             return;
         }
-        let budget = self
-            .retry_budgets
-            .entry(request.service.clone())
-            .or_insert_with(|| {
-                let bounds = &self.bounds;
-                budget::RetryBudget::new(
-                    bounds.retry_ratio,
-                    bounds.retry_extra,
-                    bounds.retry_window_ms,
-                )
-            });
+        if request.is_hedge {
+            self.submit_hedge(now, job, request);
+            return;
+        }
+        let retry_share = self.retry_share;
+        let budget = self.retry_budget(&request.service);
         if request.is_retry {
-            if !budget.try_retry(now, self.retry_share) {
+            if !budget.try_retry(now, retry_share) {
                 self.decline(job, job::DeclineReason::RetryBudget);
                 return;
             }
@@ -351,6 +353,10 @@
             return;
         };
         job.started_at = Some(now);
+        self.record_latency(now, id);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         self.crash_guard
             .tracker
             .record_response(now, &job.primary, job.placed_at);
@@ -376,6 +382,7 @@
 
     /// Records the end of a job and releases what it used.
     pub fn end(&mut self, now: f64, id: job::JobId, outcome: &job::JobOutcome) {
+        self.record_end_of_hedged(now, id, outcome);
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
@@ -484,16 +491,8 @@
         waiting: &state::WaitingRequest,
         place: queue::QueuePlace,
     ) -> bool {
-        let slack_ms = waiting.objective_at - now - waiting.min_latency_ms;
-        let waited_ms = now - waiting.submitted_at;
-        let selective_ms = SELECTIVITY_DECAY_SHARE * waiting.request.full_objective_ms;
-        let selectivity = if slack_ms > 0.0 {
-            1.0 - waited_ms / selective_ms.max(1.0)
-        } else {
-            0.0
-        };
-        let min_gain_share = MIN_GAIN_SHARE * selectivity.max(0.0);
-        let min_gain = min_gain_share.max(place.min_gain_share(waiting)) * waiting.value;
+        let contested = place.min_gain_share(waiting) * waiting.value;
+        let min_gain = self.min_gain(now, waiting).max(contested);
         let scored_plan = match self.best_plan(now, waiting, min_gain) {
             Ok(scored_plan) => scored_plan.filter(|_| {
                 !self
@@ -506,19 +505,54 @@
             }
         };
         if let Some(scored_plan) = scored_plan {
-            let predicted_ms = scored_plan.plan.predicted_ms;
-            for member in scored_plan.plan.members() {
-                self.rate_limits.record_placement(now, &member.endpoint);
-            }
-            self.queue.record_placement(now, waiting);
-            self.place(now, waiting, scored_plan.usages, predicted_ms);
-            let decision = job::PlacementDecision::Placed(scored_plan.plan);
-            self.decisions.push((waiting.job, decision));
+            self.take_plan(now, waiting, scored_plan);
             return true;
         }
         self.decline_hopeless(now, waiting, place)
     }
 
+    /// Returns the value that a plan must gain to be taken now.
+    fn min_gain(&self, now: f64, waiting: &state::WaitingRequest) -> f64 {
+        let slack_ms = waiting.objective_at - now - waiting.min_latency_ms;
+        let waited_ms = now - waiting.submitted_at;
+        let selective_ms = SELECTIVITY_DECAY_SHARE * waiting.request.full_objective_ms;
+        let selectivity = if slack_ms > 0.0 {
+            1.0 - waited_ms / selective_ms.max(1.0)
+        } else {
+            0.0
+        };
+        MIN_GAIN_SHARE * selectivity.max(0.0) * waiting.value
+    }
+
+    /// Places a request according to a plan.
+    fn take_plan(
+        &mut self,
+        now: f64,
+        waiting: &state::WaitingRequest,
+        scored_plan: prompt_search::ScoredPlan,
+    ) {
+        let predicted_ms = scored_plan.plan.predicted_ms;
+        for member in scored_plan.plan.members() {
+            self.rate_limits.record_placement(now, &member.endpoint);
+        }
+        self.queue.record_placement(now, waiting);
+        self.place(now, waiting, scored_plan.usages, predicted_ms);
+        let decision = job::PlacementDecision::Placed(scored_plan.plan);
+        self.decisions.push((waiting.job, decision));
+    }
+
+    fn retry_budget(&mut self, service: &ids::ServiceId) -> &mut budget::RetryBudget {
+        let bounds = self.bounds;
+        let budget = self.retry_budgets.entry(service.clone());
+        budget.or_insert_with(|| {
+            budget::RetryBudget::new(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_ms,
+            )
+        })
+    }
+
     /// Declines a request that won't be placed in time; returns `false` if it may be.
     fn decline_hopeless(
         &mut self,
@@ -768,12 +802,11 @@
             state.record_send(now);
         }
         let request = &waiting.request;
+        self.record_work(now, waiting);
         let job = state::PlacedJob {
             service: request.service.clone(),
             kind: request.kind,
             value: waiting.value,
-            work_ms: waiting.work_ms,
-            customer: request.customer.clone(),
             placed_at: now,
             objective_at: waiting.objective_at,
             gap_objective_ms: request.gap_objective_ms,
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -352,9 +352,9 @@
         self.requests.iter().map(|waiting| &waiting.job)
     }
 
-    /// Returns the requests, for changes of their rank.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut state::WaitingRequest> {
-        self.requests.iter_mut()
+    /// Returns the requests.
+    pub fn iter(&self) -> impl Iterator<Item = &state::WaitingRequest> {
+        self.requests.iter()
     }
 
     /// Whether no request waits.
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -67,10 +67,6 @@
     pub service: ids::ServiceId,
     pub kind: job::JobKind,
     pub value: f64,
-    /// Engine time that it takes, or time in a slot of a plain service, ms.
-    pub work_ms: f64,
-    /// The customer on whose behalf it runs.
-    pub customer: Option<ids::CustomerId>,
     pub placed_at: f64,
     pub objective_at: f64,
     pub gap_objective_ms: f64,
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -3,6 +3,7 @@
 
 #[path = "support/placers.rs"]
 mod placers;
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use sardinepaddle_pool::job;
