--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -218,8 +218,7 @@
     let mut bytes = postcard::to_stdvec(message)?;
     let tail = message.tail();
     let has_customers = tail.customers.iter().any(Option::is_some) || tail.hedges.contains(&true);
-    let has_digests =
-        has_customers || tail.responded || tail.digests.iter().any(Option::is_some);
+    let has_digests = has_customers || tail.responded || tail.digests.iter().any(Option::is_some);
     let has_parts = has_digests || tail.parts.iter().any(|parts| !parts.is_empty());
     if era > 0 || has_parts {
         bytes = postcard::to_extend(&era, bytes)?;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -203,6 +203,13 @@
     pub responded: bool,
 }
 
+impl JobOutcome {
+    /// Whether the endpoint has worked on the request: it succeeded or responded.
+    pub fn is_response(&self) -> bool {
+        self.responded || self.signal == health::HealthSignal::Success
+    }
+}
+
 impl From<health::HealthSignal> for JobOutcome {
     /// Creates an outcome that concerns the primary of the plan.
     fn from(signal: health::HealthSignal) -> Self {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod crashes;
+pub mod customer_shares;
 pub mod engine;
 pub mod health;
 pub mod holds;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -15,6 +15,7 @@
 use crate::budget;
 use crate::cold;
 use crate::crashes;
+use crate::customer_shares;
 use crate::engine;
 use crate::health;
 use crate::job;
@@ -89,6 +90,7 @@
     retry_share: f64,
     cold_rate: cold::ColdRate,
     rate_limits: limits::RateLimits,
+    customer_shares: customer_shares::CustomerShares,
     crash_tracker: crashes::CrashTracker,
     quarantines: quarantine::QuarantineList,
     decisions: Vec<(job::JobId, job::PlacementDecision)>,
@@ -109,6 +111,7 @@
             retry_share: 1.0,
             cold_rate: cold::ColdRate::default(),
             rate_limits: limits::RateLimits::default(),
+            customer_shares: customer_shares::CustomerShares::default(),
             crash_tracker: crashes::CrashTracker::default(),
             quarantines: quarantine::QuarantineList::default(),
             decisions: Vec::new(),
@@ -131,6 +134,16 @@
         self.rate_limits.set_share(share);
     }
 
+    /// Sets the share of the capacity of all services that this placer divides among customers.
+    pub fn set_capacity_share(&mut self, share: f64) {
+        self.customer_shares.set_capacity_share(share);
+    }
+
+    /// Returns what customers asked and got here.
+    pub fn customer_shares(&mut self) -> &mut customer_shares::CustomerShares {
+        &mut self.customer_shares
+    }
+
     /// Replaces the limits that endpoints name.
     pub fn set_limits(&mut self, now: f64, named: &[(ids::EndpointId, limits::EndpointLimit)]) {
         self.rate_limits.set_limits(now, named);
@@ -229,6 +242,7 @@
     /// Submits a request. The decision appears in [`Self::take_decisions`], at once or later. A
     /// request submitted again, over another connection, replaces the first.
     pub fn submit(&mut self, now: f64, job: job::JobId, request: job::PlacementRequest) {
+        let is_known = self.is_known(job);
         self.cancel(now, job);
         if let Some(left_ms) = self.quarantines.remaining_ms(now, &request.features()) {
             self.decline_quarantined(job, left_ms);
@@ -246,16 +260,21 @@
                 )
             });
         if request.is_retry {
-            if !budget.try_retry(now, self.retry_share) {
+            let customer = request.customer.as_ref();
+            if !budget.try_retry(now, self.retry_share, customer) {
                 self.decline(job, job::DeclineReason::RetryBudget);
                 return;
             }
         } else {
-            budget.record_request(now);
+            budget.record_request(now, request.customer.as_ref());
         }
         self.advance(now);
-        let waiting = self.assess(now, job, request);
-        if !self.try_decide(now, &waiting) {
+        let mut waiting = self.assess(now, job, request);
+        if !is_known {
+            self.record_demand(now, &waiting);
+        }
+        self.update_excess(now, &mut waiting);
+        if self.yields(&waiting) || !self.try_decide(now, &waiting) {
             self.waiting.push(waiting);
         }
     }
@@ -289,6 +308,7 @@
             deadline_at: now + request.remaining_ms,
             min_latency_ms: self.min_latency_ms(&request),
             work_ms: self.work_ms(&request),
+            excess: 0.0,
             request,
         }
     }
@@ -319,6 +339,7 @@
         self.advance(now);
         let usages = self.member_usages(now, running.job, &running.request, &running.plan);
         let waiting = self.assess(now, running.job, running.request.clone());
+        self.record_demand(now, &waiting);
         self.place(now, &waiting, usages, running.plan.predicted_ms);
         if running.started {
             self.first_event(now, running.job);
@@ -359,6 +380,9 @@
             return;
         };
         self.record_crash_evidence(now, &job, outcome);
+        if job.started_at.is_none() && !outcome.is_response() {
+            self.customer_shares.refund(now, &job);
+        }
         for (position, usage) in job.members.iter().enumerate() {
             let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
                 continue;
@@ -453,11 +477,17 @@
     /// Decides on waiting requests.
     fn decide_waiting(&mut self, now: f64) {
         let mut waiting = std::mem::take(&mut self.waiting);
+        for request in &mut waiting {
+            self.update_excess(now, request);
+        }
         // Requests with the highest value per engine time come first.
         let value_density = |request: &state::WaitingRequest| {
             request.value / (request.cost_weight * request.min_latency_ms).max(1.0)
         };
-        waiting.sort_by(|a, b| value_density(b).total_cmp(&value_density(a)));
+        waiting.sort_by(|a, b| {
+            let by_excess = a.excess.total_cmp(&b.excess);
+            by_excess.then_with(|| value_density(b).total_cmp(&value_density(a)))
+        });
         for (position, request) in waiting.into_iter().enumerate() {
             let deferred = position >= MAX_EVALUATED_PER_TICK
                 && now + request.min_latency_ms < request.deadline_at;
@@ -505,7 +535,10 @@
                 return true;
             }
         };
+        let scored_plan =
+            scored_plan.filter(|scored_plan| self.leaves_room(now, waiting, &scored_plan.usages));
         if let Some(scored_plan) = scored_plan {
+            self.customer_shares.record_wait(waiting, waited_ms);
             let predicted_ms = scored_plan.plan.predicted_ms;
             for member in scored_plan.plan.members() {
                 self.rate_limits.record_placement(now, &member.endpoint);
@@ -518,11 +551,77 @@
         let next_at = self.next_turn_at(&waiting.request).max(now);
         let unservable = waiting.is_unservable(next_at);
         if unservable {
+            self.customer_shares.record_decline(now, waiting);
+            self.customer_shares.record_wait(waiting, waited_ms);
             self.decline_until(waiting.job, job::DeclineReason::Overloaded, next_at - now);
         }
         unservable
     }
 
+    fn is_known(&self, job: job::JobId) -> bool {
+        self.jobs.contains_key(&job) || self.waiting.iter().any(|waiting| waiting.job == job)
+    }
+
+    fn record_demand(&mut self, now: f64, waiting: &state::WaitingRequest) {
+        self.customer_shares.record_demand(
+            now,
+            &waiting.request.service,
+            waiting.request.customer.as_ref(),
+            waiting.work_ms,
+        );
+    }
+
+    /// Updates how far the customer of a request is above its share.
+    fn update_excess(&mut self, now: f64, waiting: &mut state::WaitingRequest) {
+        let service = &waiting.request.service;
+        if self.customer_shares.is_due(now, service) {
+            let capacity = self.capacity(service);
+            self.customer_shares.refresh(now, service, capacity);
+        }
+        let customer = waiting.request.customer.as_ref();
+        waiting.excess = self.customer_shares.excess(now, service, customer);
+    }
+
+    /// Returns the engine time that a service has, or the time in slots, ms per ms.
+    fn capacity(&self, service: &ids::ServiceId) -> f64 {
+        let is_engine = self.is_engine(service);
+        let capacities = self.available(service).map(|(_, state)| match is_engine {
+            true => 1.0 / state.pass_model.slowdown(),
+            false => f64::from(state.live.slots),
+        });
+        capacities.sum()
+    }
+
+    fn is_engine(&self, service: &ids::ServiceId) -> bool {
+        let profile = self.services.get(service);
+        profile.is_some_and(|profile| profile.engine.is_some())
+    }
+
+    /// Whether a new request has to let waiting ones of customers within their share go first.
+    fn yields(&self, waiting: &state::WaitingRequest) -> bool {
+        let service = &waiting.request.service;
+        let mut others = self.waiting.iter();
+        waiting.excess > 0.0
+            && others.any(|other| other.excess == 0.0 && other.request.service == *service)
+    }
+
+    /// Whether a plan leaves room for the requests of customers within their share, if that of the
+    /// request is above its own.
+    fn leaves_room(
+        &self,
+        now: f64,
+        waiting: &state::WaitingRequest,
+        members: &[state::MemberUsage],
+    ) -> bool {
+        let service = &waiting.request.service;
+        let customer = waiting.request.customer.as_ref();
+        if self.customer_shares.excess(now, service, customer) == 0.0 {
+            return true;
+        }
+        let endpoints = self.available(service).map(|(_, state)| state);
+        customer_shares::leaves_room(now, endpoints, members, self.is_engine(service))
+    }
+
     /// Whether a request may crash endpoints, and an identical one still has to show whether it does.
     fn awaits_repeat(&self, now: f64, request: &job::PlacementRequest) -> bool {
         let Some(digest) = request.digest else {
@@ -846,12 +945,19 @@
             }
         }
         let request = &waiting.request;
+        let charged_ms = self.customer_shares.record_use(
+            now,
+            &request.service,
+            request.customer.as_ref(),
+            waiting.work_ms,
+        );
         let job = state::PlacedJob {
             service: request.service.clone(),
             kind: request.kind,
             value: waiting.value,
             work_ms: waiting.work_ms,
             customer: request.customer.clone(),
+            charged_ms,
             placed_at: now,
             objective_at: waiting.objective_at,
             gap_objective_ms: request.gap_objective_ms,
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -68,6 +68,8 @@
     pub work_ms: f64,
     /// The customer on whose behalf it runs.
     pub customer: Option<ids::CustomerId>,
+    /// Engine time that the customer was charged with, ms.
+    pub charged_ms: f64,
     pub placed_at: f64,
     pub objective_at: f64,
     pub gap_objective_ms: f64,
@@ -101,6 +103,8 @@
     pub min_latency_ms: f64,
     /// Engine time that it takes, or time in a slot of a plain service, ms.
     pub work_ms: f64,
+    /// How far its customer is above its share, see [`crate::customer_shares`].
+    pub excess: f64,
 }
 
 impl WaitingRequest {
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -61,6 +61,20 @@
     pub rate_factors: Vec<Vec<f64>>,
 }
 
+/// A customer with its own part of each class of a load.
+#[derive(Clone, Debug)]
+pub struct CustomerLoad {
+    pub name: String,
+    /// Factors of the rate of each class on a calm day.
+    pub class_shares: Vec<f64>,
+    /// Factors of these rates while the customer surges.
+    pub surge_factors: Vec<f64>,
+    /// Start and end of its surge, ms.
+    pub surge: (f64, f64),
+    /// Times that it repeats a declined request at once.
+    pub repeats: u32,
+}
+
 /// Outcomes of the requests of one class.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ClassOutcome {
@@ -92,6 +106,10 @@
 #[derive(Clone, Debug)]
 struct SimulatedRequest {
     class: usize,
+    customer: Option<usize>,
+    /// Times that it was repeated at once.
+    repeats: u32,
+    earned_value: f64,
     prompt: f64,
     answer_tokens: f64,
     relative_value: f64,
@@ -113,11 +131,13 @@
     Arrive(usize),
     PassEnd(usize),
     Tick,
+    ReplacePlacer,
 }
 
 /// The simulation of one load.
 pub struct LoadSimulation {
     load: EngineLoad,
+    customers: Vec<CustomerLoad>,
     profile: serving::EngineProfile,
     placer: placer::JobPlacer,
     engines: Vec<engine::SimulatedEngine>,
@@ -125,13 +145,50 @@
     event_queue: collections::BTreeMap<(u64, usize), SimulationEvent>,
     last_sequence: usize,
     plans: map::HashMap<usize, job::PlacementPlan>,
+    /// Submitted requests that are neither placed nor declined.
+    undecided: collections::BTreeSet<usize>,
     outcomes: Vec<ClassOutcome>,
 }
 
 impl LoadSimulation {
     /// Generates the requests of a load from a seed.
     pub fn new(load: EngineLoad, seed: u64) -> Self {
+        let mut simulation = Self::without_requests(load);
+        simulation.generate_requests(seed, None);
+        simulation.schedule(TICK_MS, SimulationEvent::Tick);
+        simulation
+    }
+
+    /// Generates the requests of several customers, each from its own part of the seed.
+    pub fn with_customers(load: EngineLoad, customers: Vec<CustomerLoad>, seed: u64) -> Self {
+        let mut simulation = Self::without_requests(load);
+        simulation.customers = customers;
+        for customer in 0..simulation.customers.len() {
+            simulation.generate_requests(seed * 1_000 + customer as u64, Some(customer));
+        }
+        simulation.schedule(TICK_MS, SimulationEvent::Tick);
+        simulation
+    }
+
+    fn without_requests(load: EngineLoad) -> Self {
         let profile = profiles::profile(load.slots, load.stride);
+        let placer = Self::new_placer(&load, &profile);
+        Self {
+            customers: Vec::new(),
+            outcomes: vec![ClassOutcome::default(); load.classes.len()],
+            engines: vec![engine::SimulatedEngine::default(); load.engines],
+            load,
+            profile,
+            placer,
+            requests: Vec::new(),
+            event_queue: collections::BTreeMap::new(),
+            last_sequence: 0,
+            plans: map::HashMap::default(),
+            undecided: collections::BTreeSet::new(),
+        }
+    }
+
+    fn new_placer(load: &EngineLoad, profile: &serving::EngineProfile) -> placer::JobPlacer {
         let bounds = placer::PlacerBounds {
             retry_ratio: 0.2,
             retry_extra: 100.0,
@@ -164,28 +221,17 @@
             })
             .collect();
         placer.set_endpoints(&listed, &[]);
-        let mut simulation = Self {
-            outcomes: vec![ClassOutcome::default(); load.classes.len()],
-            engines: vec![engine::SimulatedEngine::default(); load.engines],
-            load,
-            profile,
-            placer,
-            requests: Vec::new(),
-            event_queue: collections::BTreeMap::new(),
-            last_sequence: 0,
-            plans: map::HashMap::default(),
-        };
-        simulation.generate_requests(seed);
-        simulation
+        placer
     }
 
-    fn generate_requests(&mut self, seed: u64) {
+    fn generate_requests(&mut self, seed: u64, customer: Option<usize>) {
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
         let classes = self.load.classes.clone();
         for (index, class) in classes.iter().enumerate() {
             let mut at = 0.0;
             loop {
-                let rate_factor = self.rate_factor(index, at).max(0.01);
+                let customer_factor = self.customer_factor(customer, index, at);
+                let rate_factor = (customer_factor * self.rate_factor(index, at)).max(0.001);
                 let interval_s =
                     -rng.random::<f64>().max(1e-12).ln() / (class.rate_per_s * rate_factor);
                 at += interval_s * 1_000.0;
@@ -200,6 +246,9 @@
                 let stride = f64::from(self.profile.stride);
                 let request = SimulatedRequest {
                     class: index,
+                    customer,
+                    repeats: 0,
+                    earned_value: 0.0,
                     prompt,
                     answer_tokens: class.answer_events * stride * (0.4 + 1.2 * rng.random::<f64>()),
                     relative_value: relative_value.min(4.0),
@@ -221,7 +270,20 @@
                 self.schedule(at, event);
             }
         }
-        self.schedule(TICK_MS, SimulationEvent::Tick);
+    }
+
+    fn customer_factor(&self, customer: Option<usize>, class: usize, at: f64) -> f64 {
+        let Some(customer) = customer.map(|index| &self.customers[index]) else {
+            return 1.0;
+        };
+        let (from, until) = customer.surge;
+        let is_surging = at >= from && at < until;
+        let surge_factor = if is_surging {
+            customer.surge_factors[class]
+        } else {
+            1.0
+        };
+        customer.class_shares[class] * surge_factor
     }
 
     fn rate_factor(&self, class: usize, at: f64) -> f64 {
@@ -241,6 +303,37 @@
 
     /// Runs the simulation to its end and returns the outcomes of each class.
     pub fn run(mut self) -> Vec<ClassOutcome> {
+        self.run_until_end();
+        for class in 0..self.outcomes.len() {
+            self.record_large_prompts(class);
+        }
+        self.outcomes
+    }
+
+    /// Runs the simulation to its end and returns, for each customer, the share of the value of
+    /// its requests from a span of time that it earned.
+    pub fn run_for_customers(mut self, span: (f64, f64)) -> Vec<f64> {
+        self.run_until_end();
+        let earned_share = |customer| {
+            let is_counted = |request: &&SimulatedRequest| {
+                let at = request.submitted_at;
+                request.customer == Some(customer) && at >= span.0 && at < span.1
+            };
+            let counted = || self.requests.iter().filter(is_counted);
+            let earned: f64 = counted().map(|request| request.earned_value).sum();
+            let offered = counted()
+                .map(|request| self.load.classes[request.class].value * request.relative_value);
+            earned / offered.sum::<f64>().max(1e-9)
+        };
+        (0..self.customers.len()).map(earned_share).collect()
+    }
+
+    /// Replaces the placer, once at a time, by a new one that adopts what runs.
+    pub fn replace_placer_at(&mut self, at: f64) {
+        self.schedule(at, SimulationEvent::ReplacePlacer);
+    }
+
+    fn run_until_end(&mut self) {
         let ends_at = self.load.span_ms + 16_000.0;
         while let Some(((at_us, _), event)) = self.event_queue.pop_first() {
             let now = at_us as f64 / 1_000.0;
@@ -251,6 +344,7 @@
                 SimulationEvent::Submit(index) => self.submit(now, index),
                 SimulationEvent::Arrive(index) => self.arrive(now, index),
                 SimulationEvent::PassEnd(engine) => self.end_pass(now, engine),
+                SimulationEvent::ReplacePlacer => self.replace_placer(now),
                 SimulationEvent::Tick => {
                     self.placer.tick(now);
                     self.abandon_overdue(now);
@@ -259,10 +353,6 @@
             }
             self.apply_decisions(now);
         }
-        for class in 0..self.outcomes.len() {
-            self.record_large_prompts(class);
-        }
-        self.outcomes
     }
 
     fn record_large_prompts(&mut self, class: usize) {
@@ -297,9 +387,34 @@
     }
 
     fn submit(&mut self, now: f64, index: usize) {
+        let placement_request = self.placement_request(now, index);
+        self.undecided.insert(index);
+        self.placer.submit(now, Self::job(index), placement_request);
+    }
+
+    fn replace_placer(&mut self, now: f64) {
+        self.placer = Self::new_placer(&self.load, &self.profile);
+        let running =
+            |index: &usize| self.plans.contains_key(index) && !self.requests[*index].ended;
+        let running: Vec<usize> = (0..self.requests.len()).filter(running).collect();
+        for index in running {
+            let running_job = job::RunningJob {
+                job: Self::job(index),
+                request: self.placement_request(now, index),
+                plan: self.plans[&index].clone(),
+                started: self.requests[index].first_event_at > 0.0,
+            };
+            self.placer.adopt(now, &running_job);
+        }
+        for index in std::mem::take(&mut self.undecided) {
+            self.submit(now, index);
+        }
+    }
+
+    fn placement_request(&self, now: f64, index: usize) -> job::PlacementRequest {
         let request = &self.requests[index];
         let class = self.load.classes[request.class];
-        let placement_request = job::PlacementRequest {
+        job::PlacementRequest {
             route: class.name.to_owned(),
             service: ids::ServiceId::new("llm"),
             kind: job::JobKind::Prompt {
@@ -316,16 +431,21 @@
             excluded: Vec::new(),
             shared_parts: Vec::new(),
             digest: None,
-            customer: None,
+            customer: self.customer_id(request),
             is_hedge: false,
             is_retry: false,
-        };
-        self.placer.submit(now, Self::job(index), placement_request);
+        }
+    }
+
+    fn customer_id(&self, request: &SimulatedRequest) -> Option<ids::CustomerId> {
+        let customer = request.customer?;
+        Some(ids::CustomerId::new(&self.customers[customer].name))
     }
 
     fn apply_decisions(&mut self, now: f64) {
         for (job, decision) in self.placer.take_decisions() {
             let index = job.number as usize;
+            self.undecided.remove(&index);
             match decision {
                 job::PlacementDecision::Placed(plan) => {
                     self.plans.insert(index, plan);
@@ -342,6 +462,14 @@
         let request = &mut self.requests[index];
         let class = self.load.classes[request.class];
         let remaining_ms = request.submitted_at + class.deadline_ms - now;
+        let repeats = request
+            .customer
+            .map_or(0, |index| self.customers[index].repeats);
+        if request.repeats < repeats {
+            request.repeats += 1;
+            self.schedule(now + 2.0 * ONE_WAY_MS, SimulationEvent::Submit(index));
+            return;
+        }
         if request.retried || remaining_ms < 100.0 {
             request.ended = true;
             self.outcomes[request.class].declined += 1;
@@ -440,11 +568,12 @@
             outcome.abandoned += 1;
         } else if is_on_time && request.longest_gap_ms <= class.gap_objective_ms {
             outcome.on_time += 1;
-            outcome.earned_value += class.value * request.relative_value;
+            request.earned_value = class.value * request.relative_value;
         } else {
             outcome.late += 1;
-            outcome.earned_value += class.late_value * request.relative_value;
+            request.earned_value = class.late_value * request.relative_value;
         }
+        outcome.earned_value += request.earned_value;
         for engine in request.members.clone() {
             self.engines[engine].remove(index);
         }
