--- a/crates/pool/src/customer_shares.rs
+++ b/crates/pool/src/customer_shares.rs
@@ -153,64 +153,39 @@
 
 impl CustomerShares {
     /// Sets the share of all services that is divided here; other placers divide the rest.
-    pub fn set_capacity_share(&mut self, share: f64) {
+    pub(crate) fn set_capacity_share(&mut self, share: f64) {
         self.capacity_share = share;
     }
 
-    /// Records that a request for `work_ms` of engine time was submitted.
-    pub fn record_demand(
-        &mut self,
-        now: f64,
-        service: &ids::ServiceId,
-        customer: Option<&ids::CustomerId>,
-        work_ms: f64,
-    ) {
-        let shares = self.service_mut(service);
-        let Some(customer) = customer else {
-            shares.anonymous.add(now, work_ms);
+    /// Records that a request was submitted.
+    pub(crate) fn record_demand(&mut self, now: f64, waiting: &state::WaitingRequest) {
+        let shares = self.service_mut(&waiting.request.service);
+        let Some(customer) = &waiting.request.customer else {
+            shares.anonymous.add(now, waiting.work_ms);
             return;
         };
         let account = shares.account_mut(now, customer);
-        account.demand.add(now, work_ms);
+        account.demand.add(now, waiting.work_ms);
         account.asked_at = now;
     }
 
     /// Records that a request was placed, and returns the engine time that its customer was charged
-    /// with, ms: none without pressure and for what ran in room that others left.
-    ///
-    /// ```
-    /// use model::ids;
-    /// use sardinepaddle_pool::customer_shares;
-    /// let (service, large) = (ids::ServiceId::new("llm"), ids::CustomerId::new("large"));
-    /// let mut shares = customer_shares::CustomerShares::default();
-    /// shares.record_demand(0.0, &service, Some(&ids::CustomerId::new("small")), 10.0);
-    /// shares.record_demand(0.0, &service, Some(&large), 60_000.0);
-    /// shares.refresh(0.0, &service, 8.0);
-    /// assert_eq!(shares.excess(0.0, &service, Some(&large)), 0.0);
-    /// shares.record_use(0.0, &service, Some(&large), 60_000.0);
-    /// assert!(shares.excess(0.0, &service, Some(&large)) > 1.0);
-    /// ```
-    pub fn record_use(
-        &mut self,
-        now: f64,
-        service: &ids::ServiceId,
-        customer: Option<&ids::CustomerId>,
-        work_ms: f64,
-    ) -> f64 {
-        let excess = self.excess(now, service, customer);
-        let shares = self.service_mut(service);
-        shares.usage.add(now, work_ms);
+    /// with, ms: none without pressure and for what runs in room that others leave.
+    pub(crate) fn record_use(&mut self, now: f64, waiting: &state::WaitingRequest) -> f64 {
+        let is_above = self.excess(now, &waiting.request) > 0.0;
+        let shares = self.service_mut(&waiting.request.service);
+        shares.usage.add(now, waiting.work_ms);
         let is_pressed = shares.level.is_some();
-        let Some(customer) = customer else {
+        let Some(customer) = &waiting.request.customer else {
             return 0.0;
         };
         let account = shares.account_mut(now, customer);
-        account.usage.add(now, work_ms);
-        if !is_pressed || excess > 0.0 {
+        account.usage.add(now, waiting.work_ms);
+        if !is_pressed || is_above {
             return 0.0;
         }
-        account.debt_ms += work_ms;
-        work_ms
+        account.debt_ms += waiting.work_ms;
+        waiting.work_ms
     }
 
     /// Takes back the use of a placed request that ended before an endpoint worked on it.
@@ -245,14 +220,9 @@
     /// Returns how far a customer is above its share of a service: the time in which its share pays
     /// for what was placed in advance, s. Zero within the share, without pressure, and without a
     /// customer.
-    pub fn excess(
-        &self,
-        now: f64,
-        service: &ids::ServiceId,
-        customer: Option<&ids::CustomerId>,
-    ) -> f64 {
-        let shares = self.services.get(service);
-        let Some((shares, customer)) = shares.zip(customer) else {
+    pub(crate) fn excess(&self, now: f64, request: &job::PlacementRequest) -> f64 {
+        let shares = self.services.get(&request.service);
+        let Some((shares, customer)) = shares.zip(request.customer.as_ref()) else {
             return 0.0;
         };
         let account = shares.accounts.get(customer);
@@ -265,7 +235,7 @@
     }
 
     /// Whether the level of a service has to be computed again.
-    pub fn is_due(&self, now: f64, service: &ids::ServiceId) -> bool {
+    pub(crate) fn is_due(&self, now: f64, service: &ids::ServiceId) -> bool {
         let shares = self.services.get(service);
         shares.is_some_and(|shares| {
             !shares.accounts.is_empty() && now - shares.refreshed_at >= REFRESH_MS
@@ -273,7 +243,7 @@
     }
 
     /// Computes the level of a service that has `capacity` of engine time, ms per ms.
-    pub fn refresh(&mut self, now: f64, service: &ids::ServiceId, capacity: f64) {
+    pub(crate) fn refresh(&mut self, now: f64, service: &ids::ServiceId, capacity: f64) {
         let share = self.capacity_share;
         let Some(shares) = self.services.get_mut(service) else {
             return;
@@ -462,6 +432,18 @@
     capacity
 }
 
+/// Returns the engine time that endpoints have, or the time in their slots, ms per ms.
+pub(crate) fn capacity<'a>(
+    endpoints: impl Iterator<Item = &'a state::EndpointState>,
+    is_engine: bool,
+) -> f64 {
+    let capacities = endpoints.map(|state| match is_engine {
+        true => 1.0 / state.pass_model.slowdown(),
+        false => f64::from(state.live.slots),
+    });
+    capacities.sum()
+}
+
 /// Returns whether endpoints keep enough room for requests of customers within their share if a
 /// request is placed on `members`. `is_engine` tells whether the endpoints are model engines.
 pub(crate) fn leaves_room<'a>(
--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -1,5 +1,6 @@
 //! Customers that compete for too little room: what each gets while one of them asks for too much.
 
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use support::simulation;
--- a/crates/pool/tests/loads.rs
+++ b/crates/pool/tests/loads.rs
@@ -1,5 +1,6 @@
 //! Simulates the users' heaviest loads and checks how much of each request class is served.
 
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use support::simulation;
