--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,12 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
+use std::cell;
+use std::collections;
+
+use model::ids;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics as api;
+use pool::customer_shares;
 use process::scrape;
 
 /// Upper bounds of the duration histograms' buckets, seconds; they cover the users' objectives and
@@ -10,6 +15,23 @@
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 4.0, 6.0, 10.0, 15.0,
 ];
 
+/// Customers that are shown by name at a time, those with the highest demand.
+pub(crate) const NAMED_CUSTOMERS: usize = 16;
+/// Customers that are ever shown by name.
+const MAX_CUSTOMER_LABELS: usize = 64;
+/// Label of all other customers together.
+const OTHER_CUSTOMERS: &str = "other";
+
+/// Metrics by customer.
+struct CustomerGauges {
+    demand: api::Gauge<f64>,
+    share: api::Gauge<f64>,
+    usage: api::Gauge<f64>,
+    refused: api::Gauge<u64>,
+    waited: api::Gauge<f64>,
+    labels: cell::RefCell<collections::BTreeSet<String>>,
+}
+
 /// All metrics of a daemon.
 pub(crate) struct GatewayMetrics {
     registry: scrape::ScrapeRegistry,
@@ -28,6 +50,7 @@
     quarantines: api::Gauge<u64>,
     cut_off: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
+    customers: CustomerGauges,
     log_lines_dropped: api::Gauge<u64>,
 }
 
@@ -45,7 +68,32 @@
                 .with_boundaries(TIME_BOUNDS.to_vec())
                 .build()
         };
+        let rate = |name, help| meter.f64_gauge(name).with_description(help).build();
+        let customers = CustomerGauges {
+            demand: rate(
+                "customer_demand",
+                "Engine time that a customer asks for, ms per ms",
+            ),
+            share: rate(
+                "customer_share",
+                "Engine time to which a customer is entitled of it, ms per ms",
+            ),
+            usage: rate(
+                "customer_use",
+                "Engine time that is placed for a customer, ms per ms",
+            ),
+            refused: gauge(
+                "customer_refused",
+                "Requests of a customer declined for lack of engine time",
+            ),
+            waited: rate(
+                "customer_waited_seconds",
+                "Time that requests of a customer waited for a place",
+            ),
+            labels: cell::RefCell::default(),
+        };
         Ok(Self {
+            customers,
             requests: counter("requests", "Requests by outcome and reason"),
             placements: counter("placements", "Verdicts on where requests run, by outcome"),
             attempts: counter("attempts", "Attempts on endpoints by how they ended"),
@@ -154,6 +202,36 @@
         self.log_lines_dropped.record(dropped as u64, &[]);
     }
 
+    /// Records what customers asked and got; `None` stands for all that aren't named.
+    pub fn record_customers(
+        &self,
+        listed: &[(Option<ids::CustomerId>, customer_shares::CustomerFigures)],
+    ) {
+        let mut labels = self.customers.labels.borrow_mut();
+        let mut by_label: collections::BTreeMap<String, customer_shares::CustomerFigures> = labels
+            .iter()
+            .map(|label| (label.clone(), customer_shares::CustomerFigures::default()))
+            .collect();
+        for (customer, figures) in listed {
+            let name = customer
+                .as_ref()
+                .map_or(OTHER_CUSTOMERS, |customer| customer.as_str());
+            let is_shown = labels.contains(name) || labels.len() < MAX_CUSTOMER_LABELS;
+            let label = if is_shown { name } else { OTHER_CUSTOMERS };
+            labels.insert(label.to_owned());
+            by_label.entry(label.to_owned()).or_default().merge(figures);
+        }
+        for (label, figures) in by_label {
+            let customer = [KeyValue::new("customer", label)];
+            self.customers.demand.record(figures.demand, &customer);
+            self.customers.share.record(figures.share, &customer);
+            self.customers.usage.record(figures.used, &customer);
+            self.customers.refused.record(figures.refused, &customer);
+            let waited_s = figures.waited_ms / 1_000.0;
+            self.customers.waited.record(waited_s, &customer);
+        }
+    }
+
     /// Records the latest known era of the store.
     pub fn store_era(&self, era: u64) {
         self.store_era.record(era, &[]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -652,6 +652,24 @@
         self.metrics.store_era(self.store_era());
         self.metrics.quarantines(self.quarantines.borrow().len());
         self.metrics.cut_off(self.reach.is_cut_off());
+        if matches!(*self.placer_location.borrow(), PlacerLocation::Local) {
+            let mut placer = self.placer.borrow_mut();
+            let shares = placer.customer_shares();
+            let figures = shares.figures(self.now(), metrics::NAMED_CUSTOMERS);
+            self.metrics.record_customers(&figures);
+        }
+    }
+
+    /// Logs which customers came above their share of a service, or are within it again.
+    fn log_share_changes(&self) {
+        for change in self.placer.borrow_mut().customer_shares().take_changes() {
+            let event = match change.is_above {
+                true => "customer above its share",
+                false => "customer within its share again",
+            };
+            log::info!(target: "sardinepaddle", customer:% = change.customer,
+                service:% = change.service, demand = change.demand, level = change.level; "{event}");
+        }
     }
 
     /// Returns a receiver that is notified of changes of the replica.
@@ -751,6 +769,7 @@
         self.placer.borrow_mut().tick(now);
         self.deliver_decisions();
         self.publish_crashes();
+        self.log_share_changes();
         self.quiet_periods.borrow_mut().sweep(now);
         self.quarantines.borrow_mut().expire(now);
         let max_age_ms = self.settings().bounds.endpoints_ms;
@@ -934,9 +953,11 @@
         };
         let mut history = self.group_history.borrow_mut();
         let cold_share = history.update(now, members, listed);
+        let capacity_share = members.max(1) as f64 / listed.max(members).max(1) as f64;
         let mut placer = self.placer.borrow_mut();
         placer.set_retry_share(share);
         placer.set_limit_share(limit_share);
+        placer.set_capacity_share(capacity_share);
         placer.set_cold_share(now, cold_share, self.incarnation);
         self.shares_updated_at.set(now);
     }
--- a/crates/pool/src/customer_shares.rs
+++ b/crates/pool/src/customer_shares.rs
@@ -26,8 +26,8 @@
 const PRESSURE_HOLD_MS: f64 = 1_000.0;
 /// Interval between two computations of the level, ms: that of the placer's decisions.
 const REFRESH_MS: f64 = 20.0;
-/// Time of its share by which a customer may be ahead, ms: the shortest latency objective.
-const ADVANCE_MS: f64 = 250.0;
+/// Time of its share by which a customer may be ahead, ms: shares settle within a second or two.
+const ADVANCE_MS: f64 = 500.0;
 /// Time after its last request for which a customer counts as one that wants its share, ms: small
 /// customers send a request every few seconds.
 const ACTIVE_MS: f64 = 10_000.0;
@@ -37,6 +37,8 @@
 const MAX_CUSTOMERS: usize = 2_048;
 /// Time for which a customer stays above its share for operators, ms; bounds the log lines.
 const REPORT_HOLD_MS: f64 = 5_000.0;
+/// Most changes reported at a time.
+const MAX_CHANGES: usize = 64;
 /// Prefill time queued at an engine up to which a prompt that arrives next is on time, ms: a third
 /// of the shortest objective.
 const ROOM_BACKLOG_MS: f64 = 100.0;
@@ -309,7 +311,8 @@
 }
 
 impl CustomerFigures {
-    fn merge(&mut self, other: &Self) {
+    /// Adds what another customer asked and got.
+    pub fn merge(&mut self, other: &Self) {
         self.demand += other.demand;
         self.used += other.used;
         self.share += other.share;
@@ -367,7 +370,7 @@
         let total = demands.iter().sum::<f64>() + anonymous;
         let usable = USABLE_SHARE * capacity;
         let is_limited = self.declined.at(now) > LIMITED_SHARE * total;
-        if total > usable || is_limited {
+        if total > capacity || is_limited {
             self.pressed_until = now + PRESSURE_HOLD_MS;
         }
         // A customer that nobody competes with has all that there is.
@@ -396,7 +399,8 @@
             } else if account.reported_until.is_some_and(|until| now >= until) {
                 account.reported_until = None;
             }
-            if account.reported_until.is_some() != was_above {
+            let is_changed = account.reported_until.is_some() != was_above;
+            if is_changed && changes.len() < MAX_CHANGES {
                 changes.push(ShareChange {
                     service: service.clone(),
                     customer: customer.clone(),
