--- a/crates/pool/src/customer_shares.rs
+++ b/crates/pool/src/customer_shares.rs
@@ -42,8 +42,9 @@
 /// Prefill time queued at an engine up to which a prompt that arrives next is on time, ms: a third
 /// of the shortest objective.
 const ROOM_BACKLOG_MS: f64 = 100.0;
-/// Share of the endpoints that requests above the share of their customer leave free.
-const ROOM_SHARE: f64 = 0.25;
+/// Share of all slots, on endpoints without a backlog, that requests above the share of their
+/// customer leave free.
+const ROOM_SHARE: f64 = 1.0 / 3.0;
 
 /// A rate of engine time, in ms per ms, averaged over [`AVERAGING_MS`].
 #[derive(Clone, Copy, Debug, Default)]
