--- a/crates/pool/src/customer_shares.rs
+++ b/crates/pool/src/customer_shares.rs
@@ -379,7 +379,7 @@
             self.level = None;
             return;
         }
-        let divided = match is_limited {
+        let divided = match is_limited && total <= capacity {
             true => self.usage.at(now).min(usable),
             false => usable,
         };
@@ -437,18 +437,6 @@
     capacity
 }
 
-/// Returns the engine time that endpoints have, or the time in their slots, ms per ms.
-pub(crate) fn capacity<'a>(
-    endpoints: impl Iterator<Item = &'a state::EndpointState>,
-    is_engine: bool,
-) -> f64 {
-    let capacities = endpoints.map(|state| match is_engine {
-        true => 1.0 / state.pass_model.slowdown(),
-        false => f64::from(state.live.slots),
-    });
-    capacities.sum()
-}
-
 /// Returns whether endpoints keep enough room for requests of customers within their share if a
 /// request is placed on `members`. `is_engine` tells whether the endpoints are model engines.
 pub(crate) fn leaves_room<'a>(
