--- a/crates/pool/src/customer_shares.rs
+++ b/crates/pool/src/customer_shares.rs
@@ -44,7 +44,7 @@
 const ROOM_BACKLOG_MS: f64 = 100.0;
 /// Share of all slots, on endpoints without a backlog, that requests above the share of their
 /// customer leave free.
-const ROOM_SHARE: f64 = 1.0 / 3.0;
+const ROOM_SHARE: f64 = 0.5;
 
 /// A rate of engine time, in ms per ms, averaged over [`AVERAGING_MS`].
 #[derive(Clone, Copy, Debug, Default)]
@@ -371,7 +371,7 @@
         let total = demands.iter().sum::<f64>() + anonymous;
         let usable = USABLE_SHARE * capacity;
         let is_limited = self.declined.at(now) > LIMITED_SHARE * total;
-        if total > capacity || is_limited {
+        if total > usable || is_limited {
             self.pressed_until = now + PRESSURE_HOLD_MS;
         }
         // A customer that nobody competes with has all that there is.
