Speeds and places of endpoints learned from all first events and rejections

Cause: only prompts that one engine prefilled alone told its speed, so that large prompts went to engines not known to be slow; a rejection kept an endpoint free for 60 ms only. By the log most arrivals that didn't run were attempts given up before their first event, not rejections.

Change: pool::slowdown takes evidence from shared, overdue and on-time prompts, suspects the members of late ones and has small prompts try them; large prompts take an engine of unknown speed to be as slow as the mean. pool::capacity pauses an endpoint after a rejection, tries it with small requests and bounds its places. Log lines and the gauge reduced_endpoints. Rejections with a quiet period concern one daemon and change nothing.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod sockets;
 pub mod sse;
 
+mod beliefs;
 mod clock;
 mod forward;
 mod frontend;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     config_version: api::Gauge<u64>,
     store_era: api::Gauge<u64>,
     quarantines: api::Gauge<u64>,
+    reduced_endpoints: api::Gauge<u64>,
     cut_off: api::Gauge<u64>,
     waiting: api::Gauge<u64>,
     log_lines_dropped: api::Gauge<u64>,
@@ -81,6 +82,10 @@
                 "quarantined_prompt_parts",
                 "Combinations of prompt parts that are declined as endpoints crash on them",
             ),
+            reduced_endpoints: gauge(
+                "reduced_endpoints",
+                "Endpoints that do less than configured, as seen by this daemon's placer",
+            ),
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
@@ -169,6 +174,11 @@
         self.quarantines.record(count as u64, &[]);
     }
 
+    /// Records the number of endpoints that do less than configured.
+    pub fn reduced_endpoints(&self, count: usize) {
+        self.reduced_endpoints.record(count as u64, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> scrape::Result<String> {
         self.registry.render()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -929,6 +929,12 @@
         if marks.not_run {
             let signal = if marks.misdirected {
                 health::HealthSignal::Unreachable
+            } else if headers::parse_notice(parts.status, &parts.headers)
+                .quiet_period
+                .is_some()
+            {
+                // It concerns this daemon only, as its quiet period does.
+                health::HealthSignal::Inconclusive
             } else {
                 health::HealthSignal::Full
             };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::beliefs;
 use crate::clock;
 use crate::followers;
 use crate::forward;
@@ -113,6 +114,8 @@
     pub forward_targets: forward::ForwardTargets,
     /// Path to the endpoints.
     pub reach: reach::EndpointReach,
+    /// Endpoints that do less than configured.
+    beliefs: beliefs::BeliefReporter,
     quarantines_restored: cell::Cell<bool>,
     unsaved_quarantines: cell::RefCell<Vec<replica::ReplicaObject>>,
     /// Quarantined causes of crashes.
@@ -170,6 +173,7 @@
             limits_known_since: cell::RefCell::default(),
             forward_targets: forward::ForwardTargets::default(),
             reach: reach::EndpointReach::default(),
+            beliefs: beliefs::BeliefReporter::default(),
             quarantines_restored: cell::Cell::new(false),
             unsaved_quarantines: cell::RefCell::default(),
             quarantines: cell::RefCell::default(),
@@ -652,6 +656,7 @@
         self.metrics.store_era(self.store_era());
         self.metrics.quarantines(self.quarantines.borrow().len());
         self.metrics.cut_off(self.reach.is_cut_off());
+        self.metrics.reduced_endpoints(self.beliefs.reduced_count());
     }
 
     /// Returns a receiver that is notified of changes of the replica.
@@ -751,6 +756,8 @@
         self.placer.borrow_mut().tick(now);
         self.deliver_decisions();
         self.publish_crashes();
+        let beliefs = self.placer.borrow().endpoint_beliefs(now);
+        self.beliefs.report(&beliefs);
         self.quiet_periods.borrow_mut().sweep(now);
         self.quarantines.borrow_mut().expire(now);
         let max_age_ms = self.settings().bounds.endpoints_ms;
--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -28,8 +28,6 @@
 const SAMPLE_WEIGHT: f64 = 0.25;
 /// Time in which the failure rate halves without new attempts, ms.
 const HALF_LIFE_MS: f64 = 4_000.0;
-/// Backoff of an endpoint that refused a request as full, ms: about one pass of an engine.
-const FULL_BACKOFF_MS: f64 = 60.0;
 
 /// Failure rate and backoff of one endpoint.
 #[derive(Clone, Debug, Default)]
@@ -45,10 +43,6 @@
     pub fn record(&mut self, now: f64, signal: HealthSignal) {
         let sample = match signal {
             HealthSignal::Success => 0.0,
-            HealthSignal::Full => {
-                self.backoff_until = self.backoff_until.max(now + FULL_BACKOFF_MS);
-                return;
-            }
             HealthSignal::Unreachable | HealthSignal::TimedOut => {
                 let backoff_over = now >= self.backoff_until;
                 if backoff_over {
@@ -59,7 +53,8 @@
                 1.0
             }
             HealthSignal::Failed => 1.0,
-            HealthSignal::Inconclusive => return,
+            // What it can take is the matter of [`crate::capacity`].
+            HealthSignal::Full | HealthSignal::Inconclusive => return,
         };
         if signal == HealthSignal::Success {
             self.backoff_ms = 0.0;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod attempts;
 pub mod budget;
+pub mod capacity;
 pub mod crashes;
 pub mod engine;
 pub mod health;
--- a/crates/pool/src/members.rs
+++ b/crates/pool/src/members.rs
@@ -4,6 +4,8 @@
 
 use model::serving;
 
+use crate::capacity;
+use crate::engine;
 use crate::passes;
 use crate::state;
 
@@ -17,6 +19,9 @@
 /// it runs there, the engine can't prefill long prompts without missing that objective. It also
 /// applies to an engine without generating requests.
 const STRICTER_GAP_COST: f64 = 0.4;
+/// Reduction of the cost of an engine for a small prompt that shows how fast it is, units of value:
+/// more than the wait of such a prompt costs.
+const TRIAL_BONUS: f64 = 0.1;
 /// Lower limit of the time to the objective by which a wait is divided, ms.
 const MIN_WAIT_DIVISOR_MS: f64 = 100.0;
 
@@ -30,6 +35,10 @@
     pub shared_start: f64,
     /// The same for a whole prompt, which queues behind others.
     pub whole_start: f64,
+    /// Factor by which it may be slower than predicted; one for prompts that may try it.
+    caution: f64,
+    /// Tokens of memory that can still be allocated.
+    free_memory: u64,
 }
 
 /// The cost of an engine as a member of a plan.
@@ -38,6 +47,8 @@
     pub candidate: &'v CandidateEngine<'a>,
     /// Predicted time at which its part is prefilled, ms.
     pub prefilled_at: f64,
+    /// The same if an engine of unknown speed is as slow as it may be, ms.
+    pub cautious_at: f64,
     /// Longest predicted pass while it generates for the request, ms.
     pub longest_pass_ms: f64,
     /// Expected value that other requests on the engine lose.
@@ -51,6 +62,7 @@
         state: &'a state::EndpointState,
         waiting: &state::WaitingRequest,
         profile: &serving::EngineProfile,
+        usual_slowdown: f64,
     ) -> Self {
         let request = &waiting.request;
         let mut fixed_cost = state.health.failure_rate(now) * waiting.value;
@@ -60,6 +72,16 @@
         if state.shortest_gap_ms() > request.gap_objective_ms {
             fixed_cost += STRICTER_GAP_COST;
         }
+        let tokens = request.kind.prompt_tokens();
+        let prefill_ms = engine::prefill_ms(profile, tokens, 1);
+        let is_small = prefill_ms <= capacity::MAX_TRIAL_MS;
+        if is_small && Self::is_trial(now, state, waiting, prefill_ms, usual_slowdown) {
+            fixed_cost -= TRIAL_BONUS;
+        }
+        let cautious_factor = match is_small {
+            true => 1.0,
+            false => state.slowdown.cautious_factor(now, usual_slowdown),
+        };
         let arrives_at = now + state::ONE_WAY_LATENCY_MS;
         let start = |shared| state.pass_model.earliest_start(profile, arrives_at, shared);
         Self {
@@ -67,9 +89,32 @@
             fixed_cost,
             shared_start: start(true),
             whole_start: start(false),
+            free_memory: state.free_memory(now, profile),
+            caution: (cautious_factor / state.pass_model.slowdown()).max(1.0),
         }
     }
 
+    /// Whether a small prompt should show how fast an engine is: it would be on time even if the
+    /// engine was as slow as it may be.
+    fn is_trial(
+        now: f64,
+        state: &state::EndpointState,
+        waiting: &state::WaitingRequest,
+        prefill_ms: f64,
+        usual_slowdown: f64,
+    ) -> bool {
+        let slow_ms = state.slowdown.cautious_factor(now, 1.0) * prefill_ms;
+        state.slowdown.needs_trial(now, usual_slowdown)
+            && state.pass_model.backlog_ms(now) == 0.0
+            && slow_ms <= waiting.objective_at - now
+    }
+
+    /// Returns when a part is prefilled that is predicted to be at `prefilled_at`, if the engine is
+    /// as slow as it may be.
+    pub fn cautious_at(&self, now: f64, prefilled_at: f64) -> f64 {
+        now + (prefilled_at - now) * self.caution
+    }
+
     /// Returns a lower bound of the ranking cost of prefilling a part, units of value.
     pub fn least_cost(
         &self,
@@ -83,19 +128,20 @@
             self.whole_start
         };
         let own_ms = self.state.pass_model.slowdown() * part.tokens * part.ms_per_token;
-        self.fixed_cost + wait_cost(now, waiting, start + own_ms)
+        let cautious_at = self.cautious_at(now, start + own_ms);
+        self.fixed_cost + wait_cost(now, waiting, cautious_at)
     }
 
     /// Returns the tokens of memory that can still be allocated.
-    pub fn free_memory(&self, profile: &serving::EngineProfile) -> u64 {
-        self.state.free_memory(profile)
+    pub fn free_memory(&self) -> u64 {
+        self.free_memory
     }
 }
 
 impl MemberCost<'_, '_> {
     /// Returns the cost by which engines are ranked, units of value; lower is better.
     pub fn ranking_cost(&self, now: f64, waiting: &state::WaitingRequest) -> f64 {
-        self.value_loss + self.candidate.fixed_cost + wait_cost(now, waiting, self.prefilled_at)
+        self.value_loss + self.candidate.fixed_cost + wait_cost(now, waiting, self.cautious_at)
     }
 }
 
@@ -112,15 +158,14 @@
     mut ranked: Vec<MemberCost<'v, 'a>>,
     count: usize,
     needed_tokens: u64,
-    profile: &serving::EngineProfile,
 ) -> Vec<MemberCost<'v, 'a>> {
     let mut by_free_memory: Vec<&CandidateEngine<'_>> =
         ranked.iter().map(|cost| cost.candidate).collect();
-    by_free_memory.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory(profile)));
+    by_free_memory.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory()));
     let mut missing_tokens = needed_tokens;
     by_free_memory.retain(|candidate| {
         let is_needed = missing_tokens > 0;
-        missing_tokens = missing_tokens.saturating_sub(candidate.free_memory(profile));
+        missing_tokens = missing_tokens.saturating_sub(candidate.free_memory());
         is_needed
     });
     let is_selected = |cost: &MemberCost<'_, '_>| {
@@ -149,26 +194,24 @@
 pub(crate) fn split_memory<'v, 'a>(
     members: &[MemberCost<'v, 'a>],
     needed_tokens: u64,
-    profile: &serving::EngineProfile,
     cost: impl Fn(&CandidateEngine<'_>) -> f64,
 ) -> Option<MemorySplit<'v, 'a>> {
     let candidates = || members.iter().map(|member| member.candidate);
-    let large_enough =
-        candidates().filter(|candidate| candidate.free_memory(profile) >= needed_tokens);
+    let large_enough = candidates().filter(|candidate| candidate.free_memory() >= needed_tokens);
     let primary = large_enough
         .map(|candidate| (cost(candidate), candidate))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, candidate)| candidate)
-        .or_else(|| candidates().max_by_key(|candidate| candidate.free_memory(profile)))?;
-    let mut missing_tokens = needed_tokens.saturating_sub(primary.free_memory(profile));
+        .or_else(|| candidates().max_by_key(|candidate| candidate.free_memory()))?;
+    let mut missing_tokens = needed_tokens.saturating_sub(primary.free_memory());
     let primary_tokens = needed_tokens - missing_tokens;
     let mut others: Vec<&CandidateEngine<'_>> = candidates().collect();
     others.retain(|candidate| candidate.state.live.id != primary.state.live.id);
-    others.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory(profile)));
+    others.sort_by_key(|candidate| cmp::Reverse(candidate.free_memory()));
     let mut helpers = Vec::with_capacity(others.len());
     for candidate in others {
         let available = candidate
-            .free_memory(profile)
+            .free_memory()
             .saturating_sub(RESERVE_MARGIN_TOKENS);
         let reserved_tokens = missing_tokens.min(available);
         missing_tokens -= reserved_tokens;
--- a/crates/pool/src/placer.rs
+++ b/crates/pool/src/placer.rs
@@ -13,6 +13,7 @@
 use model::serving;
 
 use crate::budget;
+use crate::capacity;
 use crate::cold;
 use crate::crashes;
 use crate::engine;
@@ -333,21 +334,29 @@
         job.started_at = Some(now);
         self.crash_tracker
             .record_response(now, &job.primary, job.placed_at);
-        let arrived_at = job.placed_at + state::ONE_WAY_LATENCY_MS;
-        let predicted_ms = job.predicted_first_event_at - arrived_at;
-        let actual_ms = now - state::ONE_WAY_LATENCY_MS - arrived_at;
-        let is_single_engine = job.members.len() == 1;
         let is_late = now + state::ONE_WAY_LATENCY_MS > job.objective_at;
         job.risk = risk::JobRisk {
             late: f64::from(u8::from(is_late)),
             abandoned: 0.0,
         };
+        let members = job.members.iter();
+        let states = members.filter_map(|usage| self.endpoints.get(&usage.endpoint));
+        let suspects = states.filter(|state| !state.slowdown.is_cleared(now, job.placed_at));
+        let suspects = suspects.count();
         for usage in &job.members {
             if let Some(state) = self.endpoints.get_mut(&usage.endpoint) {
                 let context_tokens = usage.part.and_then(|part| part.context_tokens);
                 state.pass_model.start_generating(now, id, context_tokens);
-                if is_single_engine && context_tokens.is_some() {
-                    state.slowdown.record(now, predicted_ms, actual_ms);
+                state.capacity.record_start(now, job.placed_at);
+                let sample = job.speed_sample(now, usage.assumed_slowdown);
+                let is_suspect = suspects == 0 || !state.slowdown.is_cleared(now, job.placed_at);
+                if usage.part.is_some() && (is_suspect || !sample.is_late()) {
+                    let suspects = if suspects == 0 {
+                        job.members.len()
+                    } else {
+                        suspects
+                    };
+                    state.slowdown.record(now, &sample, suspects);
                 }
             }
         }
@@ -372,6 +381,9 @@
             };
             if is_at_fault {
                 state.health.record(now, outcome.signal);
+                if outcome.signal == health::HealthSignal::Full {
+                    state.record_rejection(now, usage.memory_tokens, position > 0);
+                }
             }
         }
         if job.kind == job::JobKind::Call && outcome.signal == health::HealthSignal::Success {
@@ -477,6 +489,14 @@
         self.decisions.iter().any(|(other, _)| *other == job)
     }
 
+    /// Returns what is believed of each endpoint that has been seen to be slower than its profile, or
+    /// to take less than its slots.
+    pub fn endpoint_beliefs(&self, now: f64) -> Vec<capacity::EndpointBelief> {
+        let states = self.endpoints.values().filter(|state| state.listed);
+        let beliefs = states.map(|state| state.belief(now));
+        beliefs.filter(|belief| belief.is_reduced()).collect()
+    }
+
     /// Returns the number of requests that wait for placement.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
@@ -656,6 +676,8 @@
         if available.is_empty() {
             return Err(job::DeclineReason::NoEndpoint);
         }
+        let tokens = request.kind.prompt_tokens();
+        let prefill_ms = engine.map_or(0.0, |engine| engine::prefill_ms(engine, tokens, 1));
         let usable: Vec<&state::EndpointState> = available
             .iter()
             .copied()
@@ -664,6 +686,7 @@
             .filter(|state| self.rate_limits.accepts(now, &state.live))
             .filter(|state| cold_limit.is_none_or(|limit| self.is_within(now, state, limit)))
             .collect();
+        let usable = capable(now, usable, prefill_ms);
         match (request.kind, engine) {
             (job::JobKind::Prompt { tokens, .. }, Some(engine)) => {
                 let memory = state::allocatable_memory(engine);
@@ -738,6 +761,7 @@
             endpoint: state.live.id.clone(),
             part: None,
             memory_tokens: 0,
+            assumed_slowdown: 1.0,
         }];
         Some(prompt_search::ScoredPlan {
             plan,
@@ -815,6 +839,7 @@
                 endpoint: member.endpoint.clone(),
                 part,
                 memory_tokens,
+                assumed_slowdown: 1.0,
             })
             .collect()
     }
@@ -836,6 +861,7 @@
             if let Some(part) = usage.part {
                 state.pass_model.add_part(part);
             }
+            state.capacity.record_placement(now);
             state.send_times.push_back(now);
             while state
                 .send_times
@@ -898,8 +924,30 @@
         }
     }
 
+    /// Records which engines are late with prompts.
+    fn record_overdue(&mut self, now: f64) {
+        let jobs = self.jobs.values();
+        let is_waiting = |job: &&state::PlacedJob| job.started_at.is_none();
+        let overdue = jobs.filter(|job| job.predicted_first_event_at < now);
+        for job in overdue.filter(is_waiting) {
+            let is_shared = job.members.len() > 1;
+            for usage in job.members.iter().filter(|usage| usage.part.is_some()) {
+                let Some(state) = self.endpoints.get_mut(&usage.endpoint) else {
+                    continue;
+                };
+                let sample = job.speed_sample(now, usage.assumed_slowdown);
+                match is_shared {
+                    false => state.slowdown.record_overdue(now, &sample),
+                    true if state.slowdown.is_cleared(now, job.placed_at) => {}
+                    true => state.slowdown.record_shared_overdue(now, &sample),
+                }
+            }
+        }
+    }
+
     /// Advances the predicted passes of all engines to `now`.
     fn advance(&mut self, now: f64) {
+        self.record_overdue(now);
         for state in self.endpoints.values_mut() {
             state.pass_model.set_slowdown(state.slowdown.factor(now));
             if !state.pass_model.is_due(now) {
@@ -912,3 +960,22 @@
         }
     }
 }
+
+/// Returns those of the endpoints that are believed to take a request, whose prefill takes
+/// `prefill_ms` of engine time.
+fn capable(
+    now: f64,
+    mut usable: Vec<&state::EndpointState>,
+    prefill_ms: f64,
+) -> Vec<&state::EndpointState> {
+    let accepts = |state: &state::EndpointState| {
+        let running = state.jobs.len();
+        state.capacity.accepts(now, running, prefill_ms)
+    };
+    let count = usable.iter().filter(|state| accepts(state)).count();
+    match 2 * count >= usable.len() {
+        true => usable.retain(|state| accepts(state)),
+        false => usable.retain(|state| state.capacity.accepts_in_common_pause(now)),
+    }
+    usable
+}
--- a/crates/pool/src/prompt_search.rs
+++ b/crates/pool/src/prompt_search.rs
@@ -105,8 +105,10 @@
             return None;
         };
         let with_room = usable.iter().filter(|state| state.has_free_slot());
+        let usual_slowdown = self.usual_slowdown(usable);
         let candidates = with_room.map(|state| {
-            members::CandidateEngine::new(self.now, state, self.waiting, self.profile)
+            let (waiting, profile) = (self.waiting, self.profile);
+            members::CandidateEngine::new(self.now, state, waiting, profile, usual_slowdown)
         });
         let candidates: Vec<_> = candidates.collect();
         let candidates: Vec<_> = candidates.iter().collect();
@@ -128,6 +130,17 @@
         best.filter(|best| best.gain > min_gain)
     }
 
+    /// Returns the mean slowdown of the engines that have been seen.
+    fn usual_slowdown(&self, usable: &[&state::EndpointState]) -> f64 {
+        let estimates = usable.iter().map(|state| &state.slowdown);
+        let known = estimates.filter(|estimate| estimate.evidence_age_ms(self.now).is_some());
+        let factors = known.map(|estimate| estimate.cautious_factor(self.now, 1.0));
+        let (sum, count) = factors.fold((0.0, 0.0), |(sum, count), factor| {
+            (sum + factor, count + 1.0)
+        });
+        if count > 0.0 { sum / count } else { 1.0 }
+    }
+
     /// Returns an upper bound of the gain with a number of engines: that with the engines that can
     /// start first, if no other request lost any value.
     fn most_gain(&self, starts: &EarliestStarts, member_count: usize) -> f64 {
@@ -190,16 +203,18 @@
             );
             cost.value_loss + gap_overrun * waiting.value + cost.ranking_cost(self.now, waiting)
         };
-        let split = members::split_memory(&members, needed_tokens, self.profile, primary_cost)?;
+        let split = members::split_memory(&members, needed_tokens, primary_cost)?;
 
         let primary = self.member_cost(split.primary, primary_part);
         let others = members
             .iter()
             .filter(|member| member.candidate.state.live.id != split.primary.state.live.id);
         let (mut prefilled_at, mut value_loss) = (primary.prefilled_at, primary.value_loss);
+        let mut cautious_at = primary.cautious_at;
         let mut failure_rate_sum = split.primary.state.health.failure_rate(self.now);
         for member in others {
             prefilled_at = prefilled_at.max(member.prefilled_at);
+            cautious_at = cautious_at.max(member.cautious_at);
             value_loss += member.value_loss;
             failure_rate_sum += member.candidate.state.health.failure_rate(self.now);
         }
@@ -210,7 +225,8 @@
             request.gap_objective_ms,
             request.abandon_after_ms,
         );
-        let risk = self.first_event_risk(first_event_ms).max(gap_risk);
+        let cautious_ms = cautious_at - self.now + state::ONE_WAY_LATENCY_MS;
+        let risk = self.first_event_risk(cautious_ms).max(gap_risk);
         let mean_failure_rate = failure_rate_sum / member_count as f64;
         let gain = waiting.value * (risk.expected_share() - mean_failure_rate)
             - waiting.cost_weight.sqrt() * value_loss
@@ -221,6 +237,7 @@
                 endpoint: candidate.state.live.id.clone(),
                 part: Some(part),
                 memory_tokens,
+                assumed_slowdown: candidate.state.pass_model.slowdown(),
             };
         let mut usages = vec![usage(split.primary, primary_part, split.primary_tokens)];
         let helpers = split.helpers.iter();
@@ -251,21 +268,15 @@
         part: passes::PrefillPart,
     ) -> Option<Vec<members::MemberCost<'v, 'a>>> {
         let leading = self.cheapest(candidates, count, part)?;
-        let has_room = |cost: &members::MemberCost<'_, '_>| {
-            cost.candidate.free_memory(self.profile) >= needed_tokens
-        };
+        let has_room =
+            |cost: &members::MemberCost<'_, '_>| cost.candidate.free_memory() >= needed_tokens;
         if leading.iter().any(has_room) {
             return Some(leading);
         }
         // Which engines have the most memory matters more than how soon they are free, so that all
         // of them are compared.
         let ranked = self.cheapest(candidates, candidates.len(), part)?;
-        Some(members::with_largest_memory(
-            ranked,
-            count,
-            needed_tokens,
-            self.profile,
-        ))
+        Some(members::with_largest_memory(ranked, count, needed_tokens))
     }
 
     /// Returns the `count` engines with the lowest ranking cost, lowest first. Engines are
@@ -334,11 +345,13 @@
             let job = self.jobs.get(&before.job)?;
             Some(job.value_loss(self.now, before, after))
         });
+        let prefilled_at = own_forecast
+            .and_then(|own| own.prefilled_at)
+            .unwrap_or(self.now);
         members::MemberCost {
             candidate,
-            prefilled_at: own_forecast
-                .and_then(|own| own.prefilled_at)
-                .unwrap_or(self.now),
+            prefilled_at,
+            cautious_at: candidate.cautious_at(self.now, prefilled_at),
             longest_pass_ms: own_forecast.map_or(0.0, |own| own.longest_pass_ms),
             value_loss: value_loss.sum(),
         }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -5,6 +5,7 @@
 use model::ids;
 use model::serving;
 
+use crate::capacity;
 use crate::crashes;
 use crate::health;
 use crate::job;
@@ -39,6 +40,7 @@
     /// Prediction of its passes; unused unless it is a model engine.
     pub pass_model: passes::PassModel,
     pub slowdown: slowdown::EngineSlowdown,
+    pub capacity: capacity::BelievedCapacity,
     /// Tokens of memory allocated to its jobs.
     pub used_memory: u64,
     pub jobs: Vec<job::JobId>,
@@ -56,6 +58,8 @@
     /// Part of the prompt that the endpoint prefills; `None` for a plain call.
     pub part: Option<passes::PrefillPart>,
     pub memory_tokens: u64,
+    /// Factor by which the prediction took the endpoint to be slower than its profile.
+    pub assumed_slowdown: f64,
 }
 
 /// A request that was placed and has not ended.
@@ -120,6 +124,7 @@
             centre_closed: false,
             pass_model: passes::PassModel::default(),
             slowdown: slowdown::EngineSlowdown::default(),
+            capacity: capacity::BelievedCapacity::default(),
             used_memory: 0,
             jobs: Vec::new(),
             gap_objectives: Vec::new(),
@@ -161,9 +166,29 @@
         gaps.fold(f64::MAX, f64::min)
     }
 
-    /// Returns the tokens of memory that can still be allocated.
-    pub fn free_memory(&self, profile: &serving::EngineProfile) -> u64 {
-        allocatable_memory(profile).saturating_sub(self.used_memory)
+    /// Returns the tokens of memory that can still be allocated at `now`.
+    pub fn free_memory(&self, now: f64, profile: &serving::EngineProfile) -> u64 {
+        let free = allocatable_memory(profile).saturating_sub(self.used_memory);
+        self.capacity.free_memory(now, free)
+    }
+
+    /// Returns what is believed of it.
+    pub fn belief(&self, now: f64) -> capacity::EndpointBelief {
+        capacity::EndpointBelief {
+            endpoint: self.live.id.clone(),
+            slowdown: self.slowdown.cautious_factor(now, 1.0),
+            evidence_age_ms: self.slowdown.evidence_age_ms(now),
+            places: self.capacity.limit(now),
+        }
+    }
+
+    /// Records that it rejected a job, which has been removed and had `memory_tokens` there. A
+    /// helper rejects a job only if it can't hold its memory.
+    pub fn record_rejection(&mut self, now: f64, memory_tokens: u64, is_helper: bool) {
+        match is_helper && memory_tokens > 0 {
+            true => self.capacity.record_refused_memory(now, memory_tokens),
+            false => self.capacity.record_rejection(now, self.jobs.len()),
+        }
     }
 
     /// Returns the endpoint as a member of a plan.
@@ -177,6 +202,17 @@
 }
 
 impl PlacedJob {
+    /// Compares the time until `now` with the prediction of the first event, for an engine that was
+    /// assumed to be slower by `assumed_factor`.
+    pub fn speed_sample(&self, now: f64, assumed_factor: f64) -> slowdown::SpeedSample {
+        let arrived_at = self.placed_at + ONE_WAY_LATENCY_MS;
+        slowdown::SpeedSample {
+            assumed_factor,
+            predicted_ms: self.predicted_first_event_at - arrived_at,
+            actual_ms: now - ONE_WAY_LATENCY_MS - arrived_at,
+        }
+    }
+
     /// Returns the expected value lost if one of its engines follows forecast `after` instead of
     /// `before`.
     pub fn value_loss(
--- a/crates/pool/tests/support/engine.rs
+++ b/crates/pool/tests/support/engine.rs
@@ -34,6 +34,8 @@
     generating: Vec<GeneratingRequest>,
     /// End and results of the running pass.
     running: Option<(f64, Vec<PassResult>)>,
+    /// Time by which passes take longer than the profile says, relative to it.
+    pub extra_time: f64,
 }
 
 impl SimulatedEngine {
@@ -72,6 +74,11 @@
         self.running.as_ref().map(|(end, _)| *end)
     }
 
+    /// Returns the number of requests that it has.
+    pub fn request_count(&self) -> usize {
+        self.queue.len() + self.generating.len()
+    }
+
     /// Returns whether a pass is running.
     pub fn is_running(&self) -> bool {
         self.running.is_some()
@@ -122,6 +129,7 @@
             ));
         }
         self.generating.retain(|request| request.tokens_left > 0.0);
+        pass_ends_at += (pass_ends_at - now) * self.extra_time;
         (pass_ends_at, results)
     }
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Loads and simulation shared by the tests.
 
+#![allow(dead_code, reason = "each test program uses a part")]
+
+pub mod conditions;
 pub mod engine;
 pub mod profiles;
 pub mod simulation;
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -12,6 +12,7 @@
 use sardinepaddle_pool::job;
 use sardinepaddle_pool::placer;
 
+use crate::support::conditions;
 use crate::support::engine;
 use crate::support::profiles;
 
@@ -75,6 +76,10 @@
     pub largest_tenth: f64,
     /// Share of the fifth below it.
     pub next_fifth: f64,
+    /// Requests that reached an engine, counted for each attempt.
+    pub arrivals: u32,
+    /// Those that the engine rejected.
+    pub rejected: u32,
 }
 
 impl ClassOutcome {
@@ -100,6 +105,8 @@
     parts_left: usize,
     primary: usize,
     members: Vec<usize>,
+    /// Endpoints that rejected it.
+    excluded: Vec<ids::EndpointId>,
     first_event_at: f64,
     last_event_at: f64,
     longest_gap_ms: f64,
@@ -126,9 +133,16 @@
     last_sequence: usize,
     plans: map::HashMap<usize, job::PlacementPlan>,
     outcomes: Vec<ClassOutcome>,
+    conditions: conditions::LoadConditions,
 }
 
 impl LoadSimulation {
+    /// Sets what the engines can do as time goes on, and where the clients are.
+    pub fn with_conditions(mut self, conditions: conditions::LoadConditions) -> Self {
+        self.conditions = conditions;
+        self
+    }
+
     /// Generates the requests of a load from a seed.
     pub fn new(load: EngineLoad, seed: u64) -> Self {
         let profile = profiles::profile(load.slots, load.stride);
@@ -174,6 +188,7 @@
             event_queue: collections::BTreeMap::new(),
             last_sequence: 0,
             plans: map::HashMap::default(),
+            conditions: conditions::LoadConditions::default(),
         };
         simulation.generate_requests(seed);
         simulation
@@ -208,6 +223,7 @@
                     parts_left: 0,
                     primary: 0,
                     members: Vec::new(),
+                    excluded: Vec::new(),
                     first_event_at: 0.0,
                     last_event_at: 0.0,
                     longest_gap_ms: 0.0,
@@ -306,14 +322,14 @@
                 tokens: request.prompt as u64,
                 answer_tokens: request.answer_tokens as u64,
             },
-            centre: ids::CentreId::new("a"),
+            centre: ids::CentreId::new((self.conditions.centre)(index, now)),
             objective_remaining_ms: request.submitted_at + class.objective_ms - now,
             full_objective_ms: class.objective_ms,
             gap_objective_ms: class.gap_objective_ms,
             abandon_after_ms: Self::abandon_after_ms(&class),
             remaining_ms: request.submitted_at + class.deadline_ms - now,
             priority: 1,
-            excluded: Vec::new(),
+            excluded: request.excluded.clone(),
             shared_parts: Vec::new(),
             digest: None,
             customer: None,
@@ -361,13 +377,19 @@
     fn arrive(&mut self, now: f64, index: usize) {
         let plan = self.plans[&index].clone();
         let members = 1 + plan.helpers.len();
+        let primary = Self::engine_index(&plan.primary.endpoint);
+        self.outcomes[self.requests[index].class].arrivals += 1;
+        if self.engines[primary].request_count() >= (self.conditions.places)(primary, now) {
+            self.reject(now, index, plan.primary.endpoint);
+            return;
+        }
         let request = &mut self.requests[index];
         let pairs_ms =
             request.prompt * request.prompt / 2e6 * self.profile.attention_ms_per_million_pairs;
         let ms_per_token = 1.0 / self.profile.prefill_tokens_per_ms + pairs_ms / request.prompt;
         let part_tokens = request.prompt / members as f64;
         request.parts_left = members;
-        request.primary = Self::engine_index(&plan.primary.endpoint);
+        request.primary = primary;
         let helpers = plan.helpers.iter();
         let helpers = helpers.map(|helper| Self::engine_index(&helper.endpoint));
         request.members = std::iter::once(request.primary).chain(helpers).collect();
@@ -378,8 +400,20 @@
         }
     }
 
+    /// Rejects a request, which its daemon submits again.
+    fn reject(&mut self, now: f64, index: usize, endpoint: ids::EndpointId) {
+        let request = &mut self.requests[index];
+        self.outcomes[request.class].rejected += 1;
+        request.excluded.push(endpoint);
+        let outcome = health::HealthSignal::Full.into();
+        self.placer
+            .end(now + ONE_WAY_MS, Self::job(index), &outcome);
+        self.schedule(now + ONE_WAY_MS, SimulationEvent::Submit(index));
+    }
+
     fn start_pass(&mut self, now: f64, engine: usize) {
         let was_running = self.engines[engine].is_running();
+        self.engines[engine].extra_time = (self.conditions.slowdown)(engine, now) - 1.0;
         let end = self.engines[engine].next_pass_end(now, &self.profile);
         if let Some(end) = end.filter(|_| !was_running) {
             self.schedule(end, SimulationEvent::PassEnd(engine));
