--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -102,7 +102,7 @@
     pub min_latency_ms: f64,
     /// Engine time that it takes, or time in a slot of a plain service, ms.
     pub work_ms: f64,
-    /// How far its customer is above its share; zero within it, and without customers.
+    /// How far its customer is above its share; zero while customers have no shares.
     pub excess: f64,
     /// Lane of its route in the queue.
     pub lane: usize,
--- a/crates/pool/tests/placer.rs
+++ b/crates/pool/tests/placer.rs
@@ -360,20 +360,30 @@
     let mut placer = placer_with_engines(1, 26.0);
     let mut long = prompt("long", 200_000, 60_000.0);
     long.remaining_ms = 60_000.0;
-    placer.submit(NOW, job_id(1), long);
-    plan_of(&mut placer, job_id(1));
+    placer.submit(NOW, job_id(1), long.clone());
+    let plan = plan_of(&mut placer, job_id(1));
+    let assert_declined = |placer: &mut placer::JobPlacer, job| {
+        let declined = decision_of(placer, job);
+        assert!(
+            matches!(declined, Some(job::PlacementDecision::Declined { retry_after_ms, .. }) if retry_after_ms > 4_000),
+            "{declined:?}"
+        );
+    };
     // The engine prefills for almost five seconds: known at once.
     placer.submit(NOW, job_id(2), prompt("short", 5_000, 300.0));
-    let declined = decision_of(&mut placer, job_id(2));
-    assert!(
-        matches!(declined, Some(job::PlacementDecision::Declined { retry_after_ms, .. }) if retry_after_ms > 4_000),
-        "{declined:?}"
-    );
-    // It is free again just before this one would be late.
+    assert_declined(&mut placer, job_id(2));
+    // The engine is free again just before this one would be late, but then gets another long prompt.
     placer.submit(NOW + 4_640.0, job_id(3), prompt("short", 5_000, 300.0));
     assert_eq!(decision_of(&mut placer, job_id(3)), None);
-    placer.tick(NOW + 4_890.0);
-    assert!(decision_of(&mut placer, job_id(3)).is_some());
+    let another = job::RunningJob {
+        job: job_id(4),
+        request: long,
+        plan,
+        started: false,
+    };
+    placer.adopt(NOW + 4_660.0, &another);
+    placer.tick(NOW + 4_680.0);
+    assert_declined(&mut placer, job_id(3));
 }
 
 #[test]
