--- a/review/rig/src/bin/cut.rs
+++ b/review/rig/src/bin/cut.rs
@@ -31,17 +31,41 @@
     });
     let zones = ["zone-a", "zone-b"];
     let others: Vec<Runner> = (0..2)
-        .map(|n| Runner::start(&record, &format!("i-stays-{n}"), "order-app", zones[n], stays.clone()))
+        .map(|n| {
+            Runner::start(
+                &record,
+                &format!("i-stays-{n}"),
+                "order-app",
+                zones[n],
+                stays.clone(),
+            )
+        })
         .collect();
     others.iter().for_each(|runner| runner.register(&store));
     let leaving: Vec<Runner> = (0..3)
-        .map(|n| Runner::start(&record, &format!("i-leaving-{n}"), "order-app", zones[n % 2], leaver.clone()))
+        .map(|n| {
+            Runner::start(
+                &record,
+                &format!("i-leaving-{n}"),
+                "order-app",
+                zones[n % 2],
+                leaver.clone(),
+            )
+        })
         .collect();
     leaving[0].register(&store);
     let mut daemons: Vec<Daemon> = ["edge-zone-a-1", "edge-zone-b-1"]
         .iter()
         .enumerate()
-        .map(|(n, host)| Daemon::new(&record, host, zones[n], &format!("127.0.0.{}", n + 2), store.address))
+        .map(|(n, host)| {
+            Daemon::new(
+                &record,
+                host,
+                zones[n],
+                &format!("127.0.0.{}", n + 2),
+                store.address,
+            )
+        })
         .collect();
     daemons.iter_mut().for_each(Daemon::start);
     daemons.iter().for_each(Daemon::wait_ready);
@@ -60,8 +84,14 @@
                     number += 1;
                     let id = format!("c{lane}-{number}");
                     let request = Request {
-                        method: "POST", host: "x.example", path: "/call/1", id: &id,
-                        deadline_ms: 1_000, headers: &[], body: b"an order", pace: None,
+                        method: "POST",
+                        host: "x.example",
+                        path: "/call/1",
+                        id: &id,
+                        deadline_ms: 1_000,
+                        headers: &[],
+                        body: b"an order",
+                        pace: None,
                     };
                     match request.send(&record, to, Duration::from_secs(2)).status {
                         200 => served.fetch_add(1, Ordering::Relaxed),
@@ -96,10 +126,15 @@
         let lost = lost.load(Ordering::Relaxed) - lost_before;
         let arrivals = arrivals.lock().expect("arrivals");
         let late = arrivals.iter().filter(|at| **at > removed_at + DRAIN).count();
-        let last = arrivals.last().map_or(0, |at| at.saturating_duration_since(removed_at).as_millis());
+        let last = arrivals
+            .last()
+            .map_or(0, |at| at.saturating_duration_since(removed_at).as_millis());
         broken += late;
-        record.say(format!("{}: {before} requests before, {late} later than drain_ms after it left, \
-            the last after {last} ms; orders lost (502 or 504) as it exited: {lost}", runner.id));
+        record.say(format!(
+            "{}: {before} requests before, {late} later than drain_ms after it left, \
+            the last after {last} ms; orders lost (502 or 504) as it exited: {lost}",
+            runner.id
+        ));
         if before == 0 {
             daemon::exit(2);
         }
@@ -108,9 +143,14 @@
     for consumer in consumers {
         let _ = consumer.join();
     }
-    record.say(format!("served {}, {broken} requests reached a runner later than drain_ms after it left", served.load(Ordering::Relaxed)));
+    record.say(format!(
+        "served {}, {broken} requests reached a runner later than drain_ms after it left",
+        served.load(Ordering::Relaxed)
+    ));
     if std::env::var("LOGS").is_ok() {
-        for daemon in &daemons { println!("=== {}\n{}", daemon.host, daemon.log()); }
+        for daemon in &daemons {
+            println!("=== {}\n{}", daemon.host, daemon.log());
+        }
     }
     drop(daemons);
     daemon::exit(if broken == 0 { 0 } else { 1 });
--- a/review/rig/src/bin/early.rs
+++ b/review/rig/src/bin/early.rs
@@ -1,4 +1,4 @@
-//! A runner answers before it has read the request's long body.
+//! A runner answers before it has read the long body of the request.
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -14,8 +14,8 @@
 /// `timeout_ms` of the route.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after its answer at which the runner reads on.
-const READS_ON_AFTER: Duration = Duration::from_millis(2_500);
-const BODY_BYTES: usize = 4_000_000;
+const READS_ON_AFTER: Duration = Duration::from_millis(200);
+const BODY_BYTES: usize = 300_000;
 const REQUESTS: usize = 10;
 
 fn main() {
@@ -32,10 +32,17 @@
         if work.answer(200, b"accepted").is_err() {
             return false;
         }
-        noted.line(format!("runner: {} answered with 200 in full, body not read yet", work.attempt()));
+        noted.line(format!(
+            "runner: {} answered with 200 in full, body not read yet",
+            work.attempt()
+        ));
         thread::sleep(READS_ON_AFTER);
         let read = work.connection.read_body(work.head);
-        noted.line(format!("runner: {} rest of the body read: {}", work.attempt(), read.is_ok()));
+        noted.line(format!(
+            "runner: {} rest of the body read: {}",
+            work.attempt(),
+            read.is_ok()
+        ));
         read.is_ok()
     });
     let listener = TcpListener::bind("127.0.0.1:0").expect("runner");
@@ -54,17 +61,30 @@
                 let id = format!("r{number}");
                 let body = vec![b'x'; BODY_BYTES];
                 let request = Request {
-                    method: "POST", host: "x.example", path: "/call/1", id: &id,
-                    deadline_ms: 10_000, headers: &[], body: &body, pace: None,
+                    method: "POST",
+                    host: "x.example",
+                    path: "/call/1",
+                    id: &id,
+                    deadline_ms: 10_000,
+                    headers: &[],
+                    body: &body,
+                    pace: None,
                 };
                 request.send(&record, to, Duration::from_secs(12))
             })
         })
         .collect();
-    let answers: Vec<_> = requests.into_iter().filter_map(|request| request.join().ok()).collect();
-    let late = answers.iter().filter(|answer| answer.took > TIMEOUT + Duration::from_millis(500));
+    let answers: Vec<_> = requests
+        .into_iter()
+        .filter_map(|request| request.join().ok())
+        .collect();
+    let late = answers
+        .iter()
+        .filter(|answer| answer.took > TIMEOUT + Duration::from_millis(500));
     let late = late.count();
-    record.say(format!("{REQUESTS} requests, {late} without an answer half a second after timeout_ms"));
+    record.say(format!(
+        "{REQUESTS} requests, {late} without an answer half a second after timeout_ms"
+    ));
     if std::env::var("LOGS").is_ok() {
         println!("=== {}\n{}", daemon.host, daemon.log());
     }
--- a/review/rig/src/bin/slow_reader.rs
+++ b/review/rig/src/bin/slow_reader.rs
@@ -10,9 +10,9 @@
 use review_rig::runner::{Handler, Runner};
 use review_rig::store::Store;
 
-const BODY_BYTES: usize = 10_000_000;
+const BODY_BYTES: usize = 4_000_000;
 /// Bytes a second that the consumers read: the answer takes them five seconds.
-const PACE: usize = 2_000_000;
+const PACE: usize = 800_000;
 const REQUESTS: usize = 10;
 
 fn main() {
@@ -36,8 +36,14 @@
             thread::spawn(move || {
                 let id = format!("r{number}");
                 let request = Request {
-                    method: "POST", host: "x.example", path: "/call/1", id: &id,
-                    deadline_ms: 10_000, headers: &[], body: b"buy", pace: Some(PACE),
+                    method: "POST",
+                    host: "x.example",
+                    path: "/call/1",
+                    id: &id,
+                    deadline_ms: 10_000,
+                    headers: &[],
+                    body: b"buy",
+                    pace: Some(PACE),
                 };
                 request.send(&record, to, Duration::from_secs(12))
             })
@@ -47,9 +53,14 @@
     if review_rig::trouble() {
         daemon.signal(daemon::SIGTERM);
     }
-    let answers: Vec<_> = requests.into_iter().filter_map(|request| request.join().ok()).collect();
+    let answers: Vec<_> = requests
+        .into_iter()
+        .filter_map(|request| request.join().ok())
+        .collect();
     let cut = answers.iter().filter(|answer| !answer.is_complete).count();
-    record.say(format!("{REQUESTS} requests that ran and were answered in full by the runner, {cut} answers cut"));
+    record.say(format!(
+        "{REQUESTS} requests that ran and were answered in full by the runner, {cut} answers cut"
+    ));
     record.say(format!("the daemon has ended: {}", daemon.has_ended()));
     if std::env::var("LOGS").is_ok() {
         println!("=== {}\n{}", daemon.host, daemon.log());
--- a/review/rig/src/bin/stale.rs
+++ b/review/rig/src/bin/stale.rs
@@ -35,7 +35,15 @@
     let zones = ["zone-a", "zone-b", "zone-c"];
     let leaving = Runner::start(&record, "i-leaving", "order-app", zones[0], leaver);
     let others: Vec<Runner> = (1..3)
-        .map(|n| Runner::start(&record, &format!("i-stays-{n}"), "order-app", zones[n], stays.clone()))
+        .map(|n| {
+            Runner::start(
+                &record,
+                &format!("i-stays-{n}"),
+                "order-app",
+                zones[n],
+                stays.clone(),
+            )
+        })
         .collect();
     leaving.register(&store);
     others.iter().for_each(|runner| runner.register(&store));
@@ -71,8 +79,14 @@
                     number += 1;
                     let id = format!("c{lane}-{number}");
                     let request = Request {
-                        method: "POST", host: "x.example", path: "/call/1", id: &id,
-                        deadline_ms: 1_000, headers: &[], body: b"an order", pace: None,
+                        method: "POST",
+                        host: "x.example",
+                        path: "/call/1",
+                        id: &id,
+                        deadline_ms: 1_000,
+                        headers: &[],
+                        body: b"an order",
+                        pace: None,
                     };
                     match request.send(&record, to, Duration::from_secs(2)).status {
                         200 => served.fetch_add(1, Ordering::Relaxed),
@@ -131,7 +145,9 @@
         late.len(),
     ));
     if std::env::var("LOGS").is_ok() {
-        for daemon in &daemons { println!("=== {}\n{}", daemon.host, daemon.log()); }
+        for daemon in &daemons {
+            println!("=== {}\n{}", daemon.host, daemon.log());
+        }
     }
     if before == 0 {
         record.say("the runner got nothing before it left: the case couldn't run");
--- a/review/rig/src/consumer.rs
+++ b/review/rig/src/consumer.rs
@@ -49,8 +49,13 @@
     /// Sends the request on a new connection and waits for the answer, up to `patience`.
     pub fn send(&self, record: &Record, to: SocketAddr, patience: Duration) -> Answer {
         let started = Instant::now();
-        record.line(format!("consumer: {} sent to {to}: {} {}, {} bytes", self.id, self.method,
-            self.path, self.body.len()));
+        record.line(format!(
+            "consumer: {} sent to {to}: {} {}, {} bytes",
+            self.id,
+            self.method,
+            self.path,
+            self.body.len()
+        ));
         let mut answer = self.exchange(to, patience, self.pace).unwrap_or_default();
         answer.took = started.elapsed();
         record.line(format!(
@@ -71,16 +76,11 @@
         answer.map_or(0, |answer| answer.status)
     }
 
-    fn exchange(
-        &self,
-        to: SocketAddr,
-        patience: Duration,
-        pace: Option<usize>,
-    ) -> std::io::Result<Answer> {
-        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
-        if pace.is_some() {
-            crate::small_window(&stream, 16 * 1024);
-        }
+    fn exchange(&self, to: SocketAddr, patience: Duration, pace: Option<usize>) -> std::io::Result<Answer> {
+        let stream = match pace {
+            Some(_) => crate::connect_with_small_window(to, 16 * 1024)?,
+            None => TcpStream::connect_timeout(&to, Duration::from_secs(1))?,
+        };
         stream.set_read_timeout(Some(patience))?;
         stream.set_write_timeout(Some(patience))?;
         let mut connection = Connection::new(stream);
--- a/review/rig/src/daemon.rs
+++ b/review/rig/src/daemon.rs
@@ -24,7 +24,11 @@
 
 /// Ends the script with an exit code, and all processes that it started.
 pub fn exit(code: i32) -> ! {
-    for pid in CHILDREN.lock().unwrap_or_else(|error| error.into_inner()).drain(..) {
+    for pid in CHILDREN
+        .lock()
+        .unwrap_or_else(|error| error.into_inner())
+        .drain(..)
+    {
         // Safety: a call to the system without memory.
         unsafe { kill(pid as i32, 9) };
     }
@@ -114,7 +118,8 @@
             .spawn()
             .expect("target/release/sardinepaddled starts");
         CHILDREN.lock().expect("children").push(child.id());
-        self.record.line(format!("daemon {} started, pid {}", self.host, child.id()));
+        self.record
+            .line(format!("daemon {} started, pid {}", self.host, child.id()));
         self.child = Some(child);
     }
 
@@ -123,7 +128,8 @@
     }
 
     pub fn signal(&self, signal: i32) {
-        self.record.line(format!("daemon {} gets signal {signal}", self.host));
+        self.record
+            .line(format!("daemon {} gets signal {signal}", self.host));
         // Safety: a call to the system without memory.
         unsafe { kill(self.pid() as i32, signal) };
     }
@@ -134,7 +140,10 @@
             self.record.line(format!("daemon {} killed", self.host));
             let _ = child.kill();
             let _ = child.wait();
-            CHILDREN.lock().expect("children").retain(|pid| *pid != child.id());
+            CHILDREN
+                .lock()
+                .expect("children")
+                .retain(|pid| *pid != child.id());
         }
     }
 
--- a/review/rig/src/http.rs
+++ b/review/rig/src/http.rs
@@ -73,9 +73,8 @@
         let mut lines = text.split("\r\n");
         let first_line = lines.next().unwrap_or_default().to_owned();
         let headers = lines.filter_map(|line| line.split_once(':'));
-        let headers = headers.map(|(name, value)| {
-            (name.trim().to_ascii_lowercase(), value.trim().to_owned())
-        });
+        let headers =
+            headers.map(|(name, value)| (name.trim().to_ascii_lowercase(), value.trim().to_owned()));
         Ok(Some(Head {
             first_line,
             headers: headers.collect(),
--- a/review/rig/src/runner.rs
+++ b/review/rig/src/runner.rs
@@ -1,5 +1,6 @@
 //! A stand-in of a runner.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -26,7 +27,10 @@
     pub fn marks(&self) -> Vec<(String, String)> {
         vec![
             ("X-Attempt-Id".to_owned(), self.attempt()),
-            ("X-Runner-Signature".to_owned(), format!("sig-{}-{}", self.runner.id, self.attempt())),
+            (
+                "X-Runner-Signature".to_owned(),
+                format!("sig-{}-{}", self.runner.id, self.attempt()),
+            ),
         ]
     }
 
@@ -51,12 +55,20 @@
     record: Record,
     handler: Handler,
     exited: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    /// Copies of the open connections, by the caller's address.
+    open: Arc<Mutex<BTreeMap<SocketAddr, TcpStream>>>,
 }
 
 impl Runner {
     pub fn start(record: &Record, id: &str, service: &str, zone: &str, handler: Handler) -> Self {
-        Self::start_on(TcpListener::bind("127.0.0.1:0").expect("runner"), record, id, service, zone, handler)
+        Self::start_on(
+            TcpListener::bind("127.0.0.1:0").expect("runner"),
+            record,
+            id,
+            service,
+            zone,
+            handler,
+        )
     }
 
     pub fn start_on(
@@ -83,25 +95,35 @@
         listener.set_nonblocking(true).expect("runner");
         thread::spawn(move || {
             while !accepting.exited.load(Ordering::Relaxed) {
-                let Ok((stream, _)) = listener.accept() else {
+                let Ok((stream, caller)) = listener.accept() else {
                     thread::sleep(Duration::from_millis(1));
                     continue;
                 };
                 let _ = stream.set_nonblocking(false);
                 if let Ok(copy) = stream.try_clone() {
-                    accepting.open.lock().expect("open").push(copy);
+                    accepting.open.lock().expect("open").insert(caller, copy);
                 }
                 let runner = accepting.clone();
-                thread::spawn(move || runner.serve(stream));
+                thread::spawn(move || {
+                    let mut connection = Connection::new(stream);
+                    runner.serve(&mut connection);
+                    // The connection closes once its copy is gone too.
+                    runner.open.lock().expect("open").remove(&caller);
+                });
             }
         });
         runner
     }
 
+    /// Writes a line to the record.
+    pub fn note(&self, text: &str) {
+        self.record.line(format!("runner {}: {text}", self.id));
+    }
+
     /// Ends the runner: it accepts nothing more, and its connections end.
     pub fn exit(&self) {
         self.exited.store(true, Ordering::Relaxed);
-        for stream in self.open.lock().expect("open").drain(..) {
+        for stream in self.open.lock().expect("open").values() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
         self.record.line(format!("runner {} exits", self.id));
@@ -119,23 +141,27 @@
 
     pub fn register(&self, store: &Store) {
         store.put("servers", &self.id, Some(&self.entry("ready")));
-        self.record.line(format!("runner {} at {} registered", self.id, self.address));
+        self.record
+            .line(format!("runner {} at {} registered", self.id, self.address));
     }
 
-    fn serve(&self, stream: TcpStream) {
-        let mut connection = Connection::new(stream);
+    fn serve(&self, connection: &mut Connection) {
         while let Ok(Some(head)) = connection.read_head() {
             let expected = head.get("x-expect-instance");
             if head.target().starts_with("/-/") || head.target() == "/healthz" {
                 let _ = connection.read_body(&head);
-                if connection.respond(200, &[("X-Instance-Id", &self.id)], b"{}").is_err() {
+                if connection
+                    .respond(200, &[("X-Instance-Id", &self.id)], b"{}")
+                    .is_err()
+                {
                     return;
                 }
                 continue;
             }
             let attempt = head.get("x-attempt-id").unwrap_or_default().to_owned();
             if expected.is_some_and(|expected| expected != self.id) {
-                self.record.line(format!("runner {}: {attempt} refused with 421", self.id));
+                self.record
+                    .line(format!("runner {}: {attempt} refused with 421", self.id));
                 let _ = connection.read_body(&head);
                 let marks = [("X-Attempt-Id", attempt.as_str()), ("X-Not-Executed", "1")];
                 if connection.respond(421, &marks, b"").is_err() {
@@ -151,7 +177,7 @@
             ));
             let mut work = Work {
                 head: &head,
-                connection: &mut connection,
+                connection,
                 runner: self,
             };
             if !(self.handler)(&mut work) {
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -132,7 +132,8 @@
                 return;
             };
             let Some((status, reply)) = self.handle(&head, &body) else {
-                self.record.line(format!("store: waiting watch cut off: {}", head.target()));
+                self.record
+                    .line(format!("store: waiting watch cut off: {}", head.target()));
                 return;
             };
             if !head.target().contains("watch=") {
@@ -215,13 +216,12 @@
         let entries = objects.iter();
         let entries = entries.map(|(name, (revision, spec))| object(name, *revision, spec));
         let entries = entries.collect::<Vec<_>>().join(",");
-        let body = format!(
-            "{{\"entries\":[{entries}],\"has_more\":false,\"store_revision\":{revision}}}"
-        );
+        let body = format!("{{\"entries\":[{entries}],\"has_more\":false,\"store_revision\":{revision}}}");
         if kind == "servers" {
             let names: Vec<&String> = objects.keys().collect();
             let age = (now - at).as_millis();
-            self.record.line(format!("store: list of servers, {age} ms old: {names:?}"));
+            self.record
+                .line(format!("store: list of servers, {age} ms old: {names:?}"));
         }
         (200, body)
     }
