Log and count requests that are sent again

Now each repeat is logged with its reason and the placer, and sendings are counted by service and kind. No change of logic.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -534,22 +534,24 @@
     let mut first_error = None;
     loop {
         let connected = request.upstreams.connect(primary.address, force_new).await;
-        let mut connection = match (connected, first_error.take()) {
-            (Ok(connection), _) => {
-                if !connection.is_reused() {
-                    request.state.reach.record_connected(request.state.now());
-                }
-                connection
-            }
+        let mut connection = match connected {
+            Ok(connection) => connection,
             // The endpoint may have run the request and ended on it.
-            (Err(_), Some(first_error)) => return Err(first_error),
-            (Err(error), None) => return Err(error),
+            Err(error) => return Err(first_error.unwrap_or(error)),
         };
+        if !connection.is_reused() {
+            request.state.reach.record_connected(request.state.now());
+        }
         let mut outgoing = http::Request::builder()
             .method(request.method.clone())
             .uri(request.path.as_str())
             .body(Full::new(request.body.clone()))?;
         *outgoing.headers_mut() = headers.clone();
+        let reason = match first_error {
+            Some(_) => "connection_closed",
+            None => "attempt",
+        };
+        request.record_sending(&primary.endpoint, reason);
         match connection.exchange(outgoing).await {
             Err(error @ upstream::UpstreamError::Stale(_))
                 if request.state.may_send(&primary.endpoint)
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,5 +1,6 @@
 //! HTTP server for client requests.
 
+use std::cell;
 use std::convert;
 use std::net;
 use std::rc;
@@ -215,6 +216,7 @@
         body,
         arrived_at,
         deadline: arrived_at + millis::from_duration(timeout),
+        sendings: cell::Cell::new(hints.forwarded_runs.unwrap_or_default()),
         hints,
         state,
     })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     requests: api::Counter<u64>,
     placements: api::Counter<u64>,
     attempts: api::Counter<u64>,
+    sendings: api::Counter<u64>,
     hedges: api::Counter<u64>,
     hedge_refusals: api::Counter<u64>,
     hedge_extra_share: api::Gauge<f64>,
@@ -59,6 +60,10 @@
             requests: counter("requests", "Requests by outcome and reason"),
             placements: counter("placements", "Verdicts on where requests run, by outcome"),
             attempts: counter("attempts", "Attempts on endpoints by how they ended"),
+            sendings: counter(
+                "sendings",
+                "Requests sent to endpoints by service: first, or again with the reason",
+            ),
             hedges: counter("hedges", "Second attempts beside slow ones, by outcome"),
             hedge_refusals: counter(
                 "hedge_refusals",
@@ -150,6 +155,15 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request sent to an endpoint of a service.
+    pub fn sending(&self, service: &str, kind: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("kind", kind),
+        ];
+        self.sendings.add(1, &labels);
+    }
+
     /// Counts what became of a second attempt.
     pub fn hedge(&self, outcome: &'static str, reason: &'static str) {
         let labels = [
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! A request of a client.
 
+use std::cell;
 use std::rc;
 
 use bytes::Bytes;
@@ -35,6 +36,8 @@
     pub arrived_at: f64,
     /// Time by which the response must be complete, ms since the start of the process.
     pub deadline: f64,
+    /// Number of times that it was sent to an endpoint, and of runs before it was forwarded here.
+    pub sendings: cell::Cell<u32>,
 }
 
 impl ClientRequest {
@@ -52,6 +55,21 @@
         self.state.quarantined_ms(&features)
     }
 
+    /// Counts a sending to an endpoint and logs it if it is a repeat.
+    pub fn record_sending(&self, endpoint: &ids::EndpointId, reason: &'static str) {
+        let earlier = self.sendings.get();
+        self.sendings.set(earlier + 1);
+        let kind = if earlier == 0 { "first" } else { reason };
+        let service = &self.route_match.service;
+        self.state.metrics.sending(service.as_str(), kind);
+        if earlier > 0 {
+            let placer = self.state.remote_placer_host();
+            let placer = placer.unwrap_or_else(|| self.state.settings().host.clone());
+            log::info!(target: "sardinepaddle", request = self.hints.attempt_id, endpoint:% = endpoint,
+                service:% = service, earlier, reason, placer:% = placer; "request sent again");
+        }
+    }
+
     /// Gap before or between events at which the client abandons the request, ms.
     pub fn abandon_after_ms(&self) -> f64 {
         let route = &self.route_match.route;
