--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -5,6 +5,7 @@
 mod cut_off;
 mod endpoint_notices;
 mod hedging;
+mod odd_entries;
 mod placer_selection;
 mod rate_limits;
 mod raw_responses;
--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -141,3 +141,90 @@
         }
     }
 }
+
+/// Refusals of an earlier request, as a faulty endpoint may write them once more.
+const OLD_REFUSALS: [&str; 5] = [
+    "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 503 Busy\r\nx-attempt-id: r0\r\nx-not-executed: 1\r\ncontent-length: 4\r\n\r\ncopy",
+    "HTTP/1.1 421 Misdirected\r\nx-attempt-id: r0\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 429 Busy\r\nx-not-executed: 1\r\nretry-after: 1\r\ncontent-length: 4\r\n\r\ncopy",
+];
+
+// Guards against "not run" for a request that ran, and against a second run of one that may run once,
+// when an endpoint writes an earlier refusal again on a kept connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_refusal_on_a_kept_connection_is_not_taken_for_that_of_a_request_that_ran() {
+    let copies = OLD_REFUSALS.into_iter().flat_map(|copy| {
+        [
+            RawResponse::Preceded { copy },
+            RawResponse::Followed { copy },
+        ]
+    });
+    for response in copies {
+        let (store, first, daemon) = start(response).await;
+        let second = RawEndpoint::start("d1", response).await;
+        store.put("servers", &second.id, second.entry("s"));
+        RunningDaemon::wait_for("the endpoint", || {
+            daemon.log().matches("endpoint listed").count() == 2
+        });
+        for number in 0..24 {
+            let (kind, id) = match number % 3 {
+                0 => ("POST /once/", format!("o{number}")),
+                1 => ("POST /stream/", format!("t{number}")),
+                _ => ("GET /safe/", format!("s{number}")),
+            };
+            let received = daemon.call(&format!("{kind} HTTP/1.1"), &id);
+            let text = format!("{response:?}, {kind} {id}: {received:?}");
+            let ids = [&first, &second].map(RawEndpoint::attempt_ids).concat();
+            let arrivals = ids.iter().filter(|other| **other == id).count();
+            let is_refused = [408, 421, 429, 503].contains(&received.status);
+            assert!(!is_refused || arrivals == 0, "{text}");
+            assert!(kind != "POST /once/" || arrivals <= 1, "{text}");
+            assert!(!received.body.contains("copy"), "{text}");
+        }
+    }
+}
+
+/// Responses of the endpoint that is asked to go on with a stream, with the placeholder of its id.
+const ERRORS_AFTER_BREAK: [&str; 6] = [
+    "HTTP/1.1 500 Failed\r\nx-attempt-id: {id}\r\nx-runner-signature: s\r\ncontent-length: 5\r\n\r\nerror",
+    "HTTP/1.1 500 Failed\r\nx-attempt-id: {id}\r\nx-runner-signature: s\r\n\r\nerror",
+    "HTTP/1.1 503 Busy\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 5\r\n\r\nerror",
+    "HTTP/1.1 404 Gone\r\nx-attempt-id: {id}\r\nx-runner-signature: s\r\ncontent-length: 5\r\n\r\nerror",
+    "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\nx-runner-signature: s\r\ncontent-length: 14\r\n\r\ndata: error\n\n\n",
+    "error without a head",
+];
+
+// Guards against the error of the next endpoint in the middle of a stream, and against a stream that
+// ends as complete there.
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_the_endpoint_that_goes_on_with_a_stream_is_not_put_into_it() {
+    let broken = RawResponse::BrokenStream {
+        events: "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n",
+    };
+    for text in ERRORS_AFTER_BREAK {
+        let (store, first, daemon) = start(broken).await;
+        let second = RawEndpoint::start("d1", RawResponse::Text { text }).await;
+        store.put("servers", &second.id, second.entry("s"));
+        RunningDaemon::wait_for("the endpoint", || {
+            daemon.log().matches("endpoint listed").count() == 2
+        });
+        let mut resumed = 0;
+        for number in 0..8 {
+            let id = format!("r{number}");
+            let received = daemon.call("POST /stream/ HTTP/1.1", &id);
+            let is_begun = first.attempt_ids().contains(&id);
+            resumed += usize::from(is_begun && second.attempt_ids().contains(&id));
+            let shown = format!("{text:?}: {received:?}");
+            if received.status == 200 {
+                assert_eq!(received.body, events(2), "{shown}");
+                assert!(!received.is_complete, "{shown}");
+            }
+        }
+        assert!(
+            resumed > 0,
+            "{text:?}: no stream went on at the second endpoint"
+        );
+    }
+}
