Pass a complete response on before its endpoint has read the request

Cause: the response was passed on only after its connection had returned to the pool, and `put_back` waited without a limit until the rest of the request had been written. The class is a wait without a deadline between an answer in hand and its client. `put_back` no longer waits: the rest is written beside it, for ten seconds at most, and the connection is then kept or closed.

Test: red before (no response in 21 s, the client's limit), now passed on at once, whether the endpoint reads on after 0.2 s or not at all.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -228,3 +228,39 @@
         );
     }
 }
+
+/// Size of a body that fits into no buffer on its way, bytes.
+const LONG_BODY_BYTES: usize = 4_000_000;
+
+// Guards against holding a complete response until its endpoint has read the request's body.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_that_comes_before_the_body_was_read_is_passed_on_at_once() {
+    for read_after in [Duration::from_millis(200), Duration::from_secs(60)] {
+        let (store, endpoint, daemon) = start(RawResponse::BeforeBody { read_after }).await;
+        let mut config = support::config(2, &support::default_routes());
+        config["limits"]["max_body_bytes"] = (LONG_BODY_BYTES + 1).into();
+        store.put("config", "main", config);
+        RunningDaemon::wait_for("the configuration", || {
+            daemon.log().matches("config applied").count() == 2
+        });
+        let body = "b".repeat(LONG_BODY_BYTES);
+        let key = format!("Authorization: Bearer {KEY}");
+        let headers = [
+            "X-Attempt-Id: r1",
+            &key,
+            "X-Deadline-Ms: 4000",
+            &format!("Content-Length: {LONG_BODY_BYTES}\r\n\r\n{body}"),
+        ];
+        let started_at = Instant::now();
+        let received = support::send_request(daemon.clients, "POST /once/ HTTP/1.1", &headers);
+        let took = started_at.elapsed();
+        let text = format!("{read_after:?}: {took:?}, {received:?}");
+        assert_eq!(
+            (received.status, received.body.as_str()),
+            (200, "r1"),
+            "{text}"
+        );
+        assert!(took < Duration::from_secs(4), "{text}");
+        assert_eq!(endpoint.request_count(), 1, "{text}");
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -104,9 +104,9 @@
     }
 
     /// Ends the attempt as successful and returns its connection to the pool.
-    pub async fn complete(mut self, upstreams: &upstream::UpstreamPool) {
+    pub fn complete(mut self, upstreams: &rc::Rc<upstream::UpstreamPool>) {
         self.lease.end(health::HealthSignal::Success.into());
-        upstreams.put_back(self.connection, self.keep_alive).await;
+        upstreams.put_back(self.connection, self.keep_alive);
     }
 
     /// Ends the attempt as failed and closes its connection.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,7 +161,7 @@
             ));
         }
     };
-    endpoint_response.attempt.complete(&request.upstreams).await;
+    endpoint_response.attempt.complete(&request.upstreams);
     let mut response = http::Response::new(response::full(body_bytes));
     *response.status_mut() = endpoint_response.status;
     *response.headers_mut() = client_headers(&endpoint_response.headers);
@@ -271,7 +271,7 @@
                         break (health::HealthSignal::Failed, "stream_empty");
                     }
                     BodyRead::End if splitter.is_empty() => {
-                        attempt.complete(&request.upstreams).await;
+                        attempt.complete(&request.upstreams);
                         recorder.end("answered", "complete");
                         return;
                     }
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -203,7 +203,7 @@
 
 async fn send_order(
     state: &state::DaemonState,
-    upstreams: &upstream::UpstreamPool,
+    upstreams: &rc::Rc<upstream::UpstreamPool>,
     target: &OrderTarget,
     body: Vec<u8>,
 ) -> endpoint::OrderReply {
@@ -224,7 +224,7 @@
         let body = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
         let body_result = body.collect().await;
         if body_result.is_ok() {
-            upstreams.put_back(connection, keep_alive).await;
+            upstreams.put_back(connection, keep_alive);
         }
         Ok(endpoint::order_reply(status))
     };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::io;
 use std::net;
+use std::rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time before the end of the endpoint's keep-alive at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which an endpoint that has responded must read the rest of the request.
+const MAX_REST_TIME: Duration = Duration::from_secs(10);
 
 /// Reason why an exchange with an endpoint failed.
 #[derive(Debug, thiserror::Error)]
@@ -139,15 +142,34 @@
         None
     }
 
-    /// Returns a connection to the pool after a complete exchange. `keep_alive` is the endpoint's
-    /// limit, `None` if it named none.
-    pub async fn put_back(&self, mut connection: UpstreamConnection, keep_alive: Option<Duration>) {
+    /// Returns a connection to the pool after a complete response. `keep_alive` is the endpoint's
+    /// limit, `None` if it named none. Nobody waits for an endpoint that responded before it has read
+    /// the whole request.
+    pub fn put_back(
+        self: &rc::Rc<Self>,
+        mut connection: UpstreamConnection,
+        keep_alive: Option<Duration>,
+    ) {
         let idle_timeout = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
             limit.saturating_sub(IDLE_MARGIN)
         });
-        if idle_timeout.is_zero() || connection.sender.ready().await.is_err() {
+        if idle_timeout.is_zero() {
             return;
         }
+        if connection.sender.is_ready() {
+            self.add_idle(connection, idle_timeout);
+            return;
+        }
+        let pool = self.clone();
+        task::spawn_local(async move {
+            let ready = time::timeout(MAX_REST_TIME, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                pool.add_idle(connection, idle_timeout);
+            }
+        });
+    }
+
+    fn add_idle(&self, connection: UpstreamConnection, idle_timeout: Duration) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
         if connections.len() >= MAX_IDLE_PER_ADDRESS {
