--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -557,7 +557,7 @@
     loop {
         let held = match permit.take() {
             Some(permit) => Ok(Some(permit)),
-            None => request.acquire_repeat(),
+            None => request.acquire_if_repeat(),
         };
         let Ok(held) = held else {
             return Err(first_error.unwrap_or(upstream::UpstreamError::BudgetExhausted));
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -199,7 +199,7 @@
         let state = self.request.state.clone();
         let lease = attempt::JobLease::new(&state);
         self.is_forwarded = state.reach.is_cut_off();
-        let sent = match self.request.acquire_repeat() {
+        let sent = match self.request.acquire_if_repeat() {
             Err(request::BudgetExhausted) => Err(attempt::budget_error(&self.request)),
             Ok(permit) if self.is_forwarded => match self.forward(permit).await {
                 Ok(response) => {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -63,8 +63,8 @@
         self.state.quarantined_ms(&features)
     }
 
-    /// Returns the permit that the next sending needs if it isn't the first.
-    pub fn acquire_repeat(&self) -> Result<Option<retry_permit::RetryPermit>> {
+    /// Returns the permit that the next sending needs, unless it is the first.
+    pub fn acquire_if_repeat(&self) -> Result<Option<retry_permit::RetryPermit>> {
         match self.sendings.get() {
             0 => Ok(None),
             _ => self.acquire_permit().map(Some),
