Try more endpoints before a daemon counts as cut off

Cause, by its log and by reading: after an endpoint that couldn't be reached, only three others were tried, chosen at random; none of them listened, and the daemon took itself for cut off. It then tried one endpoint each 300 ms, and its failures didn't count for the health of endpoints, so that the next request led there again. The same happens when many endpoints end at once, until their entries lapse.

Three others are tried for 150 ms, and then up to 64; three at each interval while cut off. A daemon that is cut off finds that out 150 ms later than before if the connections hang.

daemon_that_reaches_one_endpoint_of_many_is_not_cut_off failed on ("cut off") and passes now, as do the tests of daemons that are cut off.

--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -21,6 +21,8 @@
 /// Number of requests sent then.
 const REQUESTS: usize = 30;
 const ENDPOINTS: usize = 4;
+/// Number of endpoints that have ended while their entries are still listed.
+const CLOSED_ENDPOINTS: usize = 20;
 const LAST_EVENT: u64 = 4;
 
 /// A deployment in which one daemon reaches the endpoints at addresses of its own.
@@ -154,6 +156,28 @@
     (0..ENDPOINTS).map(|_| fleet::free_address()).collect()
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_reaches_one_endpoint_of_many_is_not_cut_off() {
+    let store = FakeObjectStore::start().await;
+    let config = support::config(1, &support::default_routes());
+    store.put("config", "main", config);
+    let endpoint = FakeEndpoint::start("m", EndpointScript::Respond).await;
+    store.put("servers", &endpoint.id, endpoint.entry("s", "ready"));
+    for number in 0..CLOSED_ENDPOINTS {
+        let mut entry = endpoint.entry("s", "ready");
+        entry["address"] = fleet::free_address().to_string().into();
+        store.put("servers", &format!("closed-{number}"), entry);
+    }
+    let daemon = RunningDaemon::start(&store, "h1");
+    daemon.wait_ready();
+    for number in 0..REQUESTS {
+        daemon.call("GET /safe/ HTTP/1.1", &format!("r{number}"));
+    }
+    let log = daemon.log();
+    assert!(!log.contains("no endpoint reachable"), "cut off");
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "last").status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forwarded_request_reaches_its_endpoint_like_that_of_a_client() {
     let deployment = CutDeployment::start(closed_addresses).await;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,7 +1,7 @@
 //! Finds out whether this daemon is cut off from all endpoints.
 //!
 //! An endpoint that can't be reached may have failed, or the path from this host may have: only
-//! other endpoints tell which. While none can be reached, one is tried at an interval.
+//! other endpoints tell which. While none can be reached, some are tried at an interval.
 
 use std::cell;
 use std::pin;
@@ -13,6 +13,7 @@
 use model::ids;
 use model::serving;
 use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use tokio::task;
 use tokio::time;
 
@@ -20,12 +21,17 @@
 use crate::state;
 use crate::upstream;
 
-/// Number of other endpoints that are tried if one can't be reached.
-const OTHER_ENDPOINTS: usize = 3;
+/// Number of other endpoints that are tried first if one can't be reached, and at each interval.
+const FIRST_ENDPOINTS: usize = 3;
+/// Time for which only these are tried: at most a few round trips.
+const FIRST_WAIT: Duration = Duration::from_millis(150);
+/// Number of endpoints that are tried if these can't be reached either: many endpoints may have failed
+/// at the same time.
+const MAX_ENDPOINTS: usize = 64;
 /// Time after a connection to an endpoint in which the path is not tried again, ms: when an endpoint
 /// ends, many requests fail at once.
 const RECENT_MS: f64 = 100.0;
-/// Interval at which an endpoint is tried while none can be reached.
+/// Interval at which endpoints are tried while none can be reached.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
 
 /// What is known of the path to the endpoints.
@@ -78,7 +84,8 @@
     let _guard = CheckGuard(state.clone());
     let started_at = state.now();
     let others = others(state, failed);
-    if others.is_empty() || reaches_any(state, &others).await {
+    if others.is_empty() || reaches_first(state, &others).await || reaches_any(state, &others).await
+    {
         return;
     }
     // A request may have connected in the meantime.
@@ -99,13 +106,19 @@
     }
 }
 
-/// Returns some endpoints that accept requests, apart from one.
+/// Returns some endpoints that accept requests, apart from one, in random order.
 fn others(state: &state::DaemonState, failed: &ids::EndpointId) -> Vec<serving::LiveEndpoint> {
-    let cache = state.cache();
-    let endpoints = cache.endpoints();
-    let others: Vec<_> = endpoints.iter().filter(|live| live.id != *failed).collect();
-    let chosen = others.choose_multiple(&mut rand::rng(), OTHER_ENDPOINTS);
-    chosen.map(|live| (*live).clone()).collect()
+    let mut others = state.cache().endpoints();
+    others.retain(|live| live.id != *failed);
+    others.shuffle(&mut rand::rng());
+    others.truncate(MAX_ENDPOINTS);
+    others
+}
+
+async fn reaches_first(state: &state::DaemonState, endpoints: &[serving::LiveEndpoint]) -> bool {
+    let first = &endpoints[..endpoints.len().min(FIRST_ENDPOINTS)];
+    let reached = time::timeout(FIRST_WAIT, reaches_any(state, first)).await;
+    reached.unwrap_or(false)
 }
 
 async fn reaches_any(state: &state::DaemonState, endpoints: &[serving::LiveEndpoint]) -> bool {
@@ -121,12 +134,12 @@
     is_connected
 }
 
-/// Tries one endpoint after the other until one can be reached.
+/// Tries some endpoints after the other until one can be reached.
 async fn probe(state: rc::Rc<state::DaemonState>) {
     while state.reach.is_cut_off() {
         time::sleep(PROBE_PERIOD).await;
         let endpoints = state.cache().endpoints();
-        let chosen = endpoints.choose(&mut rand::rng());
-        reaches_any(&state, chosen.map(std::slice::from_ref).unwrap_or_default()).await;
+        let chosen = endpoints.choose_multiple(&mut rand::rng(), FIRST_ENDPOINTS);
+        reaches_any(&state, &chosen.cloned().collect::<Vec<_>>()).await;
     }
 }
