Forward a broken stream to another daemon than the one that broke it

A stream that a daemon without a path to the endpoints had forwarded ended in the middle: 1 ms after the other daemon had broken it, it was forwarded to the same one again, as targets were chosen at random. That counted as the second run, and no third follows.

Daemons that failed a request come last among its targets. They still get it if there is no other.

--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -9,6 +9,8 @@
 use fakes::proxy;
 use platform_fakes::endpoint::EndpointScript;
 use platform_fakes::endpoint::FakeEndpoint;
+use platform_fakes::raw::RawEndpoint;
+use platform_fakes::raw::RawResponse;
 use platform_fakes::store::FakeObjectStore;
 use serde_json::json;
 
@@ -21,6 +23,8 @@
 /// Number of requests sent then.
 const REQUESTS: usize = 30;
 const ENDPOINTS: usize = 4;
+/// Number of streams that one daemon of three breaks.
+const BROKEN_STREAMS: usize = 8;
 /// Number of endpoints that have ended while their entries are still listed.
 const CLOSED_ENDPOINTS: usize = 20;
 const LAST_EVENT: u64 = 4;
@@ -31,7 +35,7 @@
     /// Daemons that reach the endpoints.
     others: Vec<RunningDaemon>,
     daemon: RunningDaemon,
-    _stores: [FakeObjectStore; 2],
+    stores: [FakeObjectStore; 2],
 }
 
 impl CutDeployment {
@@ -63,7 +67,8 @@
                 "callers": other.clients.to_string()});
             own_store.put("sardinepaddle-daemons", &host, entry);
         }
-        let daemon = RunningDaemon::start(&own_store, "h3");
+        let bounds = "bounds: { grace_s: 6, retry_extra: 1000 }\n";
+        let daemon = RunningDaemon::start_with_settings(&own_store, "h3", bounds);
         daemon.wait_ready();
         let entry = json!({"host": "h3", "centre": "a", "cpu_millis": 100,
             "address": fleet::free_address().to_string(), "callers": daemon.clients.to_string()});
@@ -72,7 +77,7 @@
             endpoints,
             others,
             daemon,
-            _stores: [store, own_store],
+            stores: [store, own_store],
         }
     }
 
@@ -270,6 +275,33 @@
     }
 }
 
+// Guards against forwarding a stream again to the daemon that has just broken it.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_stream_that_a_daemon_breaks_goes_on_through_another_one() {
+    let deployment = CutDeployment::start(closed_addresses).await;
+    let events = "id: 1\ndata: piece 1\n\n";
+    let breaking = RawEndpoint::start("h4", RawResponse::BrokenStream { events }).await;
+    let entry = json!({"host": "h4", "centre": "a", "cpu_millis": 10,
+        "address": fleet::free_address().to_string(),
+        "callers": breaking.entry("s")["address"]});
+    let [_, own_store] = &deployment.stores;
+    own_store.put("sardinepaddle-daemons", "h4", entry);
+    let all: String = (1..=LAST_EVENT)
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect();
+    let mut broken = 0;
+    while broken < BROKEN_STREAMS {
+        let id = format!("r{broken}-{}", breaking.request_count());
+        let before = breaking.request_count();
+        let response = deployment.daemon.call("POST /stream/ HTTP/1.1", &id);
+        assert_eq!(
+            (response.is_complete, response.body.as_str()),
+            (true, &*all)
+        );
+        broken += breaking.request_count() - before;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn client_that_leaves_ends_its_forwarded_request_at_the_endpoint() {
     let deployment = CutDeployment::start(closed_addresses).await;
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -250,7 +250,8 @@
         }
         request.record_forwarding();
         let remaining = millis::to_duration(request.remaining_ms());
-        let forwarded = forward::forward(request, self.last_event, self.possible_runs);
+        let (last_event, runs) = (self.last_event, self.possible_runs);
+        let forwarded = forward::forward(request, last_event, runs, &self.excluded);
         match time::timeout(remaining, forwarded).await {
             Ok(forward::ForwardOutcome::Responded(response)) => {
                 attempt::accept_forwarded(request, *response, self.may_have_run).await
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -59,8 +59,12 @@
     NoTarget,
 }
 
-/// Returns the daemons that a request may be forwarded to, in random order.
-fn targets(state: &state::DaemonState) -> Vec<(ids::HostId, net::SocketAddr)> {
+/// Returns the daemons that a request may be forwarded to, in random order, those that failed it
+/// before last.
+fn targets(
+    state: &state::DaemonState,
+    failed: &[ids::EndpointId],
+) -> Vec<(ids::HostId, net::SocketAddr)> {
     let now = state.now();
     let own_host = &state.settings().host;
     let rank = state.rank.borrow();
@@ -70,6 +74,7 @@
     let others = others.filter_map(|daemon| Some((daemon.host.clone(), daemon.callers?)));
     let mut targets: Vec<_> = others.collect();
     targets.shuffle(&mut rand::rng());
+    targets.sort_by_key(|(host, _)| failed.iter().any(|id| id.as_str() == host.as_str()));
     targets.truncate(MAX_TARGETS);
     targets
 }
@@ -85,15 +90,17 @@
     })
 }
 
-/// Forwards a request to another daemon. `runs` is the number of endpoints on which it may have run.
+/// Forwards a request to another daemon. `runs` is the number of endpoints on which it may have run,
+/// `failed` names those that failed it, daemons among them.
 pub(crate) async fn forward(
     request: &request::ClientRequest,
     last_event: Option<u64>,
     runs: u32,
+    failed: &[ids::EndpointId],
 ) -> ForwardOutcome {
     let state = &request.state;
     let force_new = !request.route_match.route.retry_safety.is_retryable();
-    for (host, address) in targets(state) {
+    for (host, address) in targets(state, failed) {
         let source = state.settings().listen.callers.ip();
         let connected = request
             .upstreams
