Resume a watch that was cut off instead of taking it for an outage

Cause: a watch that lost its connection counted as a failed call. The endpoints weren't read until the configuration's watch had returned, and removals were deferred by 2.2 s as if entries had expired in an outage.

A watch that loses its connection within its wait is repeated at once, without a wait. What the store answers to that call tells the two apart: an answer resumes the watch from its revision, and removals count at once; a failure is an outage as before. Each cut costs one call for each watch that waited.

--- a/crates/daemon/tests/behind_platform/store_return.rs
+++ b/crates/daemon/tests/behind_platform/store_return.rs
@@ -91,6 +91,20 @@
     RunningDaemon::wait_for("a response", || is_served(&daemon, "safe"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_removed_after_the_watches_were_cut_off_gets_no_requests() {
+    let (store, _endpoints, daemon) = support::deployment(&[EndpointScript::Respond; 2]).await;
+    for name in ["e0", "e1"] {
+        store.cut_watches();
+        std::thread::sleep(Duration::from_millis(300));
+        store.remove("servers", name);
+        std::thread::sleep(SETTLE_TIME);
+        let removed = format!("\"endpoint\":\"{name}\",\"event\":\"endpoint removed\"");
+        assert!(daemon.log().contains(&removed), "{name}");
+    }
+    assert!(!is_served(&daemon, "safe"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_that_is_gone_stays_so_until_it_starts_again() {
     let (store, endpoints, daemon) = support::deployment(&[EndpointScript::Respond]).await;
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -76,6 +76,9 @@
     has_listed: bool,
     /// Whether the last call failed or its response was late.
     unreachable: bool,
+    /// Whether the last watch lost its connection while it waited. The next one returns at once and
+    /// tells whether the store is reachable.
+    resuming: bool,
     /// Time at which the store became reachable again, ms.
     recovered_at: f64,
     /// Deferred removals by object name.
@@ -100,6 +103,7 @@
             stamp: None,
             has_listed: false,
             unreachable: false,
+            resuming: false,
             recovered_at: f64::NEG_INFINITY,
             deferred: map::HashMap::default(),
         };
@@ -338,7 +342,15 @@
     async fn watch(&mut self, stamp: replica::ObjectStamp) -> store::Result<bool> {
         let revision = stamp.revision;
         let requested_at = self.state.now();
-        let wait = self.watch_wait();
+        let wait = match self.resuming {
+            true => Duration::ZERO,
+            false => self.watch_wait(),
+        };
+        let state = self.state.clone();
+        let is_late = || {
+            let lateness_ms = state.now() - requested_at - millis::from_duration(wait);
+            lateness_ms > LATE_RESPONSE_MS
+        };
         let batch = match self.client.watch(self.kind, revision, wait).await {
             Err(store::StoreError::HistoryGone) => {
                 log::info!(target: "sardinepaddle", kind = self.kind.name(), revision;
@@ -349,15 +361,22 @@
                 self.stamp = None;
                 return Ok(false);
             }
+            Err(store::StoreError::ConnectionLost(error)) if !self.resuming && !is_late() => {
+                log::info!(target: "sardinepaddle", kind = self.kind.name(), revision, error;
+                    "watch cut off: resuming it");
+                self.state.metrics.store_call(self.kind.name(), "cut_off");
+                self.resuming = true;
+                return Ok(false);
+            }
             batch => batch?,
         };
+        self.resuming = false;
         self.check_era(batch.era)?;
         if batch.era != stamp.era {
             self.stamp = None;
             return Ok(false);
         }
-        let lateness_ms = self.state.now() - requested_at - millis::from_duration(wait);
-        self.unreachable = self.unreachable || lateness_ms > LATE_RESPONSE_MS;
+        self.unreachable = self.unreachable || is_late();
         self.record_success();
         self.log_skipped(&batch.skipped);
         self.stamp = Some(replica::ObjectStamp {
@@ -488,6 +507,7 @@
     }
 
     fn record_failure(&mut self, error: &store::StoreError) {
+        self.resuming = false;
         let kind = self.kind.name();
         self.state.metrics.store_call(kind, "failed");
         self.state.set_store_reachable(self.kind, false);
