Exit only when the last byte of each response is written

Cause: a request stopped counting as active when its response was handed to the HTTP library, whose buffer and socket may hold megabytes of it.

A request counts from its header until its response has left the library's buffer, which is flushed once it is empty (client_stream), or its connection is gone. The grace period stays the limit.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -1,5 +1,8 @@
 //! Responses of endpoints that end with their connection, or don't end.
 
+use std::io::Read;
+use std::io::Write;
+use std::net;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +17,8 @@
 
 /// Upper limit of a daemon's memory while it reads a response without end, KB: what the hosts have.
 const MEMORY_LIMIT_KB: u64 = 260 * 1024;
+/// Length of a response that the buffers of a connection don't hold, bytes.
+const LARGE_LENGTH: usize = 15 * 1024 * 1024;
 
 async fn start(response: RawResponse) -> (FakeObjectStore, RawEndpoint, RunningDaemon) {
     let (store, _, daemon) = support::deployment(&[]).await;
@@ -264,3 +269,28 @@
         assert_eq!(endpoint.request_count(), 1, "{text}");
     }
 }
+
+// Guards against an exit while a response is still being written to a client that reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_to_a_client_that_reads_slowly_is_complete_after_sigterm() {
+    let response = RawResponse::Large {
+        length: LARGE_LENGTH,
+    };
+    let (_store, _endpoint, daemon) = start(response).await;
+    let mut client = net::TcpStream::connect(daemon.clients).unwrap();
+    let head = format!(
+        "GET /safe/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer {KEY}\r\n\
+         X-Attempt-Id: r1\r\nX-Deadline-Ms: 8000\r\n\r\n"
+    );
+    client.write_all(head.as_bytes()).unwrap();
+    let mut first = [0; 15];
+    client.read_exact(&mut first).unwrap();
+    assert_eq!(&first, b"HTTP/1.1 200 OK");
+    daemon.process.terminate();
+    std::thread::sleep(Duration::from_millis(3_700));
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).unwrap();
+    let is_end = |bytes: &[u8]| bytes == b"\r\n\r\n";
+    let head_length = rest.windows(4).position(is_end).unwrap() + 4;
+    assert_eq!(rest.len() - head_length, LARGE_LENGTH);
+}
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::client_stream;
 use crate::course;
 use crate::forward;
 use crate::relay;
@@ -67,9 +68,16 @@
     let client = stream.peer_addr().map(|address| address.ip());
     let client = client.unwrap_or(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED));
     let mut closing = context.closing.clone();
+    let buffered = client_stream::BufferedResponses::default();
+    let stream = client_stream::ClientStream::new(stream, buffered.clone());
     let service = hyper::service::service_fn(move |incoming| {
-        let context = context.clone();
-        async move { Ok::<_, convert::Infallible>(handle(context, client, incoming).await) }
+        let (context, buffered) = (context.clone(), buffered.clone());
+        async move {
+            let active = client_stream::ActiveRequest::new(&context.state);
+            let response = handle(context, client, incoming).await;
+            let track = |body| client_stream::TrackedBody::new(body, active, buffered);
+            Ok::<_, convert::Infallible>(response.map(track))
+        }
     });
     // The library measures the header timeout from the end of the previous response, so it includes
     // the idle time.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod sse;
 
 mod attempt;
+mod client_stream;
 mod clock;
 mod course;
 mod forward;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -70,8 +70,6 @@
 
 impl OutcomeRecorder {
     fn new(request: &rc::Rc<request::ClientRequest>) -> Self {
-        let state = &request.state;
-        state.active_requests.set(state.active_requests.get() + 1);
         Self {
             request: request.clone(),
             recorded: std::cell::Cell::new(false),
@@ -117,8 +115,6 @@
 impl Drop for OutcomeRecorder {
     fn drop(&mut self) {
         self.end("abandoned", "caller_gone");
-        let state = &self.request.state;
-        state.active_requests.set(state.active_requests.get() - 1);
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,7 +27,7 @@
 /// Interval at which queued placements are processed.
 const TICK_PERIOD: Duration = Duration::from_millis(20);
 /// Consecutive ticks without an active request after which a process that was asked to exit does
-/// so: several times what the last bytes of a response need.
+/// so.
 const MIN_IDLE_TICKS: u32 = 3;
 /// Interval at which stale state is removed and the settings file is checked for changes.
 const SWEEP_PERIOD: Duration = Duration::from_millis(1_000);
@@ -190,8 +190,7 @@
         "daemon shutting down");
     time::sleep(BALANCER_NOTICE_TIME.min(grace / 2)).await;
     close.send_replace(true);
-    // The last bytes written may still be in transit within the process, and further requests may
-    // arrive.
+    // Clients may have sent further requests that aren't read yet.
     let mut idle_ticks = 0;
     while idle_ticks < MIN_IDLE_TICKS && time::Instant::now() < end {
         time::sleep(TICK_PERIOD).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -130,6 +130,7 @@
     announced_placer: cell::RefCell<Option<ids::HostId>>,
     placer_announced: tokio::sync::Notify,
     next_job_number: cell::Cell<u64>,
+    /// Number of requests that were read and whose responses have not been written completely.
     pub active_requests: cell::Cell<usize>,
 }
 
