Keep connections of endpoints for an hour at most

A Keep-Alive header with a number near 2^64 seconds overflowed the clock in put_back: the task of the client's connection panicked, and the client got no response to an order that had run (named by the review, by reading).

connection_that_is_to_be_kept_for_ever_is_kept failed on ("overflow when adding duration to instant") and passes now.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -294,3 +294,16 @@
     let head_length = rest.windows(4).position(is_end).unwrap() + 4;
     assert_eq!(rest.len() - head_length, LARGE_LENGTH);
 }
+
+// Guards against a response that is lost as the time to keep its connection is added to the clock.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_that_is_to_be_kept_for_ever_is_kept() {
+    let seconds = "18446744073709551615";
+    let (_store, endpoint, daemon) = start(RawResponse::KeptFor { seconds }).await;
+    for id in ["r1", "r2"] {
+        let response = daemon.call("POST /once/ HTTP/1.1", id);
+        assert_eq!((response.status, response.body.as_str()), (200, id));
+    }
+    assert_eq!(endpoint.attempt_ids(), ["r1", "r2"]);
+    assert_eq!(daemon.log().matches("panicked").count(), 0);
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,8 @@
 const MAX_IDLE_PER_ADDRESS: usize = 8;
 /// Time for which a connection stays idle if the endpoint names no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest time for which a connection stays idle, whatever the endpoint names.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Time before the end of the endpoint's keep-alive at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Time in which an endpoint that has responded must read the rest of the request.
@@ -151,7 +153,7 @@
         keep_alive: Option<Duration>,
     ) {
         let idle_timeout = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
-            limit.saturating_sub(IDLE_MARGIN)
+            limit.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
         });
         if idle_timeout.is_zero() {
             return;
