Give up a daemon that doesn't read its messages

A placer whose follower stopped reading in the middle of a message waited for ever: the checks of whether it is alive are made between messages. Its running requests stayed in the placer's forecasts, and the connection in its list of followers.

A message that isn't sent within 2.5 s, the time without a message after which a follower counts as lost, ends the connection.

--- a/crates/daemon/tests/behind_platform/placer_selection.rs
+++ b/crates/daemon/tests/behind_platform/placer_selection.rs
@@ -20,6 +20,9 @@
 /// second.
 const TAKEOVER_WINDOW: Duration = Duration::from_secs(4);
 
+/// Length of an entry that the buffers of a connection don't hold, bytes.
+const LARGE_LENGTH: usize = 8 * 1024 * 1024;
+
 /// Number of store calls that shows that a daemon watches the store itself, rather than receiving
 /// its changes from another daemon.
 const WATCHER_CALLS: u64 = 5;
@@ -284,3 +287,34 @@
     assert_eq!(store_calls(&daemons[2]), 0);
     assert!(store_calls(&daemons[0]) > 0);
 }
+
+/// Returns a text of letters and digits that hardly becomes shorter by compression.
+fn random_text(length: usize) -> String {
+    let mut state: u64 = 1;
+    let mut next = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        char::from_digit((state >> 33) as u32 % 36, 36).expect("a digit")
+    };
+    (0..length).map(|_| next()).collect()
+}
+
+// Guards against a placer that waits for ever for a follower that has stopped reading.
+#[tokio::test(flavor = "multi_thread")]
+async fn follower_that_does_not_read_is_given_up_in_the_middle_of_a_message() {
+    let (store, endpoints, first) = support::deployment(&[EndpointScript::Respond]).await;
+    let second = RunningDaemon::spawn_with(store.address(), "h2", 0.1, support::PROGRAM);
+    RunningDaemon::wait_for_followers(&[&first], 1);
+    second.process.freeze();
+    let mut entry = endpoints[0].entry("s", "ready");
+    entry["sequence"] = 2.into();
+    entry["note"] = random_text(LARGE_LENGTH).into();
+    store.put("servers", "e0", entry);
+    RunningDaemon::wait_for("the end of the connection", || {
+        first.log().contains("daemon disconnected")
+    });
+    assert!(first.log().contains("does not read"), "not in a message");
+    let response = first.call("GET /safe/ HTTP/1.1", "r1");
+    assert_eq!(response.status, 200, "{response:?}");
+}
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -38,6 +38,8 @@
 /// Time without a message after which a follower counts as lost, ms: longer than for the placer, as
 /// only the follower's own placements depend on it.
 const FOLLOWER_TIMEOUT_MS: f64 = 2_500.0;
+/// Time in which a message is sent. A daemon that doesn't read for so long counts as lost as well.
+const SEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Interval at which a daemon checks whether to switch to another placer.
 const SELECTION_PERIOD: Duration = Duration::from_millis(250);
 /// Interval at which a placer checks whether a daemon ranked before it should take over, ms: two
@@ -72,6 +74,8 @@
     Closed,
     #[error("no message received in time")]
     TimedOut,
+    #[error("the peer does not read its messages")]
+    Unread,
     #[error("the daemon is not ready to place requests")]
     NotReady,
 }
@@ -125,7 +129,8 @@
     async fn send_with_era(&mut self, message: &PlacementMessage, era: u64) -> Result<()> {
         self.state.metrics.peer_message();
         let bytes = message::encode(message, era)?;
-        Ok(self.framed.send(bytes).await?)
+        let sent = time::timeout(SEND_TIMEOUT, self.framed.send(bytes)).await;
+        Ok(sent.map_err(|_| PeerError::Unread)??)
     }
 
     /// Receives a message and the era of the store to which it belongs, zero for none.
