Divide the limits that endpoints name by the size of the groups

Each placer with followers used 0.75 of a named limit, so that four at the same time, as in a deployment cut into four parts, sent an endpoint 13 requests in 4 s where 11 are tolerated, and more with higher limits.

A placer uses 1.4 times the part of the daemons that it places for, 0.75 at most, so that all together stay below the 1.5 that endpoints tolerate. Groups of half of the daemons and more keep 0.7 to 0.75.

placers_together_stay_within_what_the_endpoint_tolerates has groups of all sizes now, the earlier cases among them; with the earlier shares it fails.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,11 +45,6 @@
 /// Number of followers without access to the store, besides the placer, from which the store counts
 /// as unreachable for all daemons; a smaller number may have been rejected individually.
 const MIN_UNREACHABLE_FOLLOWERS: usize = 3;
-/// Fraction of the limits that endpoints name that a placer with followers spends. Endpoints tolerate
-/// half more than their limit, which two placers at the same time may use up.
-const SHARED_LIMIT_FRACTION: f64 = 0.75;
-/// The same fraction for all daemons together while each places only its own requests.
-const SOLO_LIMIT_FRACTION: f64 = 0.5;
 
 /// Time after the start of the process for which it waits for the quarantines in the store, ms: other
 /// daemons may have them, and the store may be away.
@@ -983,13 +978,6 @@
     }
 
     fn update_shares(&self) {
-        let daemons = self.rank.borrow().daemons().len().max(1) as f64;
-        let is_solo = self.followers.borrow().is_empty();
-        let limit_share = if is_solo {
-            SOLO_LIMIT_FRACTION / daemons
-        } else {
-            SHARED_LIMIT_FRACTION
-        };
         let now = self.now();
         let listed = self.rank.borrow().daemons().len();
         let followers = self.followers.borrow();
@@ -1003,7 +991,7 @@
         let mut budget = self.retry_budget.borrow_mut();
         budget.set_daemons(now, listed);
         placer.set_retry_share(budget.settled_share(now));
-        placer.set_limit_share(limit_share);
+        placer.set_limit_share(limits::group_share(members, listed));
         placer.set_cold_share(now, cold_share, self.incarnation);
         self.shares_updated_at.set(now);
     }
--- a/crates/pool/src/limits.rs
+++ b/crates/pool/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits of requests per second that endpoints name for all daemons together.
 //!
-//! The placer spaces the requests that it places on such an endpoint. It uses a share of the limit,
-//! so that two placers at the same time, as while the role moves, stay within what the endpoint
+//! The placer spaces the requests that it places on such an endpoint. It uses a share of the limit by
+//! the size of its group, so that any number of placers at the same time stay within what the endpoint
 //! tolerates.
 
 use model::ids;
@@ -14,6 +14,13 @@
 const MIN_PER_S: f64 = 0.05;
 /// Highest limit that is applied, requests per second: more than an endpoint can get.
 const MAX_PER_S: f64 = 1e6;
+/// Share of each limit that all placers use together: endpoints tolerate half more than their limit.
+const TOTAL_SHARE: f64 = 1.4;
+/// Largest share of one placer: a second one may appear before the first hears of it.
+const MAX_SHARE: f64 = 0.75;
+/// Share that all daemons use together while each places only its own requests. Each may place one at
+/// the same moment.
+const ALONE_SHARE: f64 = 0.5;
 /// Time by which a request may come before its turn, ms: placements are decided at intervals.
 const TOLERANCE_MS: f64 = 40.0;
 
@@ -40,6 +47,24 @@
     share: f64,
 }
 
+/// Returns the share of each limit that the placer of a group uses, itself included in its size; zero
+/// if it follows another one. `daemons` is the number of listed daemons.
+///
+/// ```
+/// use sardinepaddle_pool::limits;
+/// let alone = limits::group_share(1, 9);
+/// let third = limits::group_share(3, 9);
+/// assert!(alone < third && 3.0 * third < 1.5);
+/// assert!(limits::group_share(9, 9) > third);
+/// ```
+pub fn group_share(members: usize, daemons: usize) -> f64 {
+    let daemons = daemons.max(members).max(1) as f64;
+    match members {
+        0 | 1 => ALONE_SHARE / daemons,
+        members => MAX_SHARE.min(TOTAL_SHARE * members as f64 / daemons),
+    }
+}
+
 impl Default for RateLimits {
     fn default() -> Self {
         Self {
--- a/crates/pool/tests/limits.rs
+++ b/crates/pool/tests/limits.rs
@@ -27,11 +27,13 @@
     [(endpoint(0).id, limit)]
 }
 
-/// Returns the times at which placers that always have a request place one within 20 s.
-fn placements(placers: usize, share: f64, per_s: f64) -> Vec<f64> {
-    let mut rates = vec![limits::RateLimits::default(); placers];
+/// Returns the times at which placers that always have a request place one within 20 s, given the
+/// sizes of their groups.
+fn placements(groups: &[usize], per_s: f64) -> Vec<f64> {
+    let daemons = groups.iter().sum();
+    let mut rates = vec![limits::RateLimits::default(); groups.len()];
     for (number, rates) in rates.iter_mut().enumerate() {
-        rates.set_share(share);
+        rates.set_share(limits::group_share(groups[number], daemons));
         rates.set_limits(37.0 * number as f64, &limit(0, per_s));
     }
     let mut times = Vec::new();
@@ -56,20 +58,34 @@
     times.iter().map(count).max().unwrap_or(0)
 }
 
+// Guards against a share for each placer, of which three at the same time are too many.
 #[test]
 fn placers_together_stay_within_what_the_endpoint_tolerates() {
+    let groups: [&[usize]; 8] = [
+        &[24],
+        &[12, 12],
+        &[20, 4],
+        &[8, 8, 8],
+        &[6, 6, 6, 6],
+        &[20, 1, 1, 1, 1],
+        &[1; 6],
+        &[1; 3],
+    ];
     for per_s in [0.0, 0.5, 1.0, 3.0, 20.0, 100.0] {
-        for (placers, share) in [(1, 0.75), (2, 0.75), (6, 0.5 / 6.0), (3, 0.5 / 3.0)] {
-            let most = most_in_span(&placements(placers, share, per_s)) as f64;
-            let allowed = 1.5 * per_s * COUNTED_MS / 1_000.0 + EXTRA_REQUESTS;
+        let allowed = 1.5 * per_s * COUNTED_MS / 1_000.0 + EXTRA_REQUESTS;
+        for groups in groups {
+            let most = most_in_span(&placements(groups, per_s)) as f64;
             assert!(
                 most <= allowed,
-                "{placers} placers, {per_s} a second: {most}"
+                "{groups:?}, {per_s} a second: {most} of {allowed}"
             );
         }
-        // A single placer uses what it may.
-        let count = placements(1, 0.75, per_s).len() as f64;
+        // A single placer uses what it may, and so do two while each counts all daemons.
+        let alone = placements(&[24], per_s);
+        let count = alone.len() as f64;
         assert!(count >= 0.7 * per_s * 20.0 - 1.0, "{per_s}: {count}");
+        let most = 2 * most_in_span(&alone);
+        assert!(most as f64 <= allowed, "two placers, {per_s}: {most}");
     }
 }
 
