Read the request of a connection that is accepted during the shutdown

The client got no response, where it could have got one or a refusal.

Connections accepted from then on are served; each ends with its first response, which says so. The process still exits when no request is active.

request_on_a_connection_opened_late_in_the_shutdown_gets_a_response failed on (no response) and passes now.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -15,6 +15,7 @@
 mod store_return;
 mod support;
 
+use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::time::Duration;
@@ -392,6 +393,37 @@
     assert_eq!(complete.count(), request_count(&endpoints));
 }
 
+// Guards against closing connections that are accepted during the shutdown before their request is
+// read.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_on_a_connection_opened_late_in_the_shutdown_gets_a_response() {
+    let script = EndpointScript::Pause {
+        after: 1,
+        pause_ms: 4_500,
+        last: 2,
+    };
+    let (_store, endpoints, daemon) = deployment(&[script]).await;
+    std::thread::scope(|scope| {
+        let open_request = scope.spawn(|| daemon.call("POST /stream/ HTTP/1.1", "r1"));
+        RunningDaemon::wait_for("the request", || request_count(&endpoints) == 1);
+        endpoints[0].set_script(EndpointScript::Respond);
+        daemon.process.terminate();
+        std::thread::sleep(Duration::from_millis(3_300));
+        let mut late = net::TcpStream::connect(daemon.clients).unwrap();
+        std::thread::sleep(Duration::from_millis(200));
+        let head = format!(
+            "GET /safe/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer {KEY}\r\n\
+             X-Attempt-Id: r2\r\n\r\n"
+        );
+        late.write_all(head.as_bytes()).unwrap();
+        let mut response = String::new();
+        late.read_to_string(&mut response).unwrap();
+        assert!(response.starts_with("HTTP/1.1 "), "{response}");
+        assert!(response.contains("connection: close"), "{response}");
+        assert!(open_request.join().unwrap().is_complete);
+    });
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn client_disconnect_ends_its_request() {
     let script = EndpointScript::Pause {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -87,6 +87,11 @@
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    // A connection that is accepted during the shutdown ends with its first response.
+    if *closing.borrow() {
+        let _ = connection.await;
+        return;
+    }
     let close_requested = closing.wait_for(|closing| *closing);
     tokio::select! {
         // Requests on a broken connection have ended and logged the reason.
