--- a/crates/fakes/tests/edge.rs
+++ b/crates/fakes/tests/edge.rs
@@ -93,9 +93,12 @@
     let refused = caller::ask(fleet.callers(0), &unknown).await;
     assert_eq!(refused.outcome, caller::CallOutcome::NotRun);
 
-    wait_for("the count of answers", async || {
+    // A request is counted after its response has been sent.
+    wait_for("the counts of answers and refusals", async || {
         let metrics = text(admin, "/metrics").await;
-        sample(&metrics, "requests_total{", "outcome=\"answered\"") == Some(4.0)
+        let count = |label| sample(&metrics, "requests_total{", label);
+        count("outcome=\"answered\"") == Some(4.0)
+            && count("reason=\"unknown_customer\"") == Some(1.0)
     })
     .await;
     let metrics = text(admin, "/metrics").await;
