--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -115,12 +115,14 @@
     others
 }
 
+/// Whether one of the first endpoints can be reached within a few round trips.
 async fn reaches_first(state: &state::DaemonState, endpoints: &[serving::LiveEndpoint]) -> bool {
     let first = &endpoints[..endpoints.len().min(FIRST_ENDPOINTS)];
     let reached = time::timeout(FIRST_WAIT, reaches_any(state, first)).await;
     reached.unwrap_or(false)
 }
 
+/// Whether one of some endpoints can be reached.
 async fn reaches_any(state: &state::DaemonState, endpoints: &[serving::LiveEndpoint]) -> bool {
     let attempts: stream::FuturesUnordered<_> = endpoints
         .iter()
@@ -134,7 +136,7 @@
     is_connected
 }
 
-/// Tries some endpoints after the other until one can be reached.
+/// Tries some endpoints at an interval until one can be reached.
 async fn probe(state: rc::Rc<state::DaemonState>) {
     while state.reach.is_cut_off() {
         time::sleep(PROBE_PERIOD).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -125,7 +125,7 @@
     announced_placer: cell::RefCell<Option<ids::HostId>>,
     placer_announced: tokio::sync::Notify,
     next_job_number: cell::Cell<u64>,
-    /// Number of requests that were read and whose responses have not been written completely.
+    /// Number of requests whose header was read and whose response has not been written completely.
     pub active_requests: cell::Cell<usize>,
 }
 
