Refuse at once what a daemon that was asked to exit might not finish

Cause: the daemon weighed a guess of the duration against the grace left, once, before the body was read; for an order the guess is twice the latency objective. Nothing asked again after the body, the queue, the placement or a failed attempt. The class is a promise that is checked once and kept late.

pool::grace answers until when a request may be sent, and the daemon asks before each sending, also while the request waits for an endpoint. Once the load balancer has noticed, what may not be repeated, and streams, are sent only if their deadline lies before the exit; calls that may be repeated if their response is expected before it. The rest is refused with a true "not run" that leads to another daemon. 0.1 s before the exit each call that is left gets a response.

--- a/crates/daemon/tests/behind_platform/cut_off.rs
+++ b/crates/daemon/tests/behind_platform/cut_off.rs
@@ -30,17 +30,18 @@
 const LAST_EVENT: u64 = 4;
 
 /// A deployment in which one daemon reaches the endpoints at addresses of its own.
-struct CutDeployment {
-    endpoints: Vec<FakeEndpoint>,
+pub struct CutDeployment {
+    pub endpoints: Vec<FakeEndpoint>,
     /// Daemons that reach the endpoints.
-    others: Vec<RunningDaemon>,
-    daemon: RunningDaemon,
-    stores: [FakeObjectStore; 2],
+    pub others: Vec<RunningDaemon>,
+    pub daemon: RunningDaemon,
+    /// The store of these, and that of the daemon.
+    pub stores: [FakeObjectStore; 2],
 }
 
 impl CutDeployment {
     /// Starts it; the daemon finds the endpoints, which stream events, at the given addresses.
-    async fn start(addresses: impl AsyncFn(&[FakeEndpoint]) -> Vec<net::SocketAddr>) -> Self {
+    pub async fn start(addresses: impl AsyncFn(&[FakeEndpoint]) -> Vec<net::SocketAddr>) -> Self {
         let scripts = [EndpointScript::Stream { last: LAST_EVENT }; ENDPOINTS];
         let (store, endpoints, first) = support::deployment(&scripts).await;
         let second = RunningDaemon::start(&store, "h2");
@@ -157,7 +158,7 @@
 }
 
 /// Returns addresses at which no endpoint listens.
-async fn closed_addresses(_: &[FakeEndpoint]) -> Vec<net::SocketAddr> {
+pub async fn closed_addresses(_: &[FakeEndpoint]) -> Vec<net::SocketAddr> {
     (0..ENDPOINTS).map(|_| fleet::free_address()).collect()
 }
 
--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -12,6 +12,7 @@
 mod raw_responses;
 mod reservations;
 mod retry_budget;
+mod shutdown;
 mod store_return;
 mod support;
 
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -200,7 +200,7 @@
     parse_response(&String::from_utf8_lossy(&bytes))
 }
 
-fn parse_response(text: &str) -> ReceivedResponse {
+pub fn parse_response(text: &str) -> ReceivedResponse {
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
         return ReceivedResponse::default();
     };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -492,6 +492,11 @@
     }))
 }
 
+/// Returns the error of a request that this daemon might not finish before it exits.
+pub(crate) fn shutdown_error() -> AttemptError {
+    AttemptError::declined(response::SHUTTING_DOWN)
+}
+
 /// Returns the error of a request that may not be sent again.
 pub(crate) fn budget_error(request: &request::ClientRequest) -> AttemptError {
     let reason = job::DeclineReason::RetryBudget.name();
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -79,8 +79,17 @@
 
     /// Tries endpoints until one starts to respond.
     pub async fn next_response(&mut self) -> Result<attempt::EndpointResponse, FinalFailure> {
+        let state = self.request.state.clone();
         loop {
-            let error = match self.attempt().await {
+            let sendings = self.request.sendings.get();
+            let attempted = tokio::select! {
+                attempted = self.attempt() => attempted,
+                () = state.shutdown.wait_for_last_response(&state.clock) => {
+                    self.may_have_run |= self.request.sendings.get() > sendings;
+                    Err(attempt::shutdown_error())
+                }
+            };
+            let error = match attempted {
                 Ok(response) => return Ok(response),
                 Err(error) => error,
             };
@@ -200,6 +209,7 @@
         let lease = attempt::JobLease::new(&state);
         self.is_forwarded = state.reach.is_cut_off();
         let sent = match self.request.acquire_if_repeat() {
+            _ if !self.may_send() => Err(attempt::shutdown_error()),
             Err(request::BudgetExhausted) => Err(attempt::budget_error(&self.request)),
             Ok(permit) if self.is_forwarded => match self.forward(permit).await {
                 Ok(response) => {
@@ -229,6 +239,13 @@
         }
     }
 
+    /// Whether a shutdown leaves the time to finish the request.
+    fn may_send(&self) -> bool {
+        let state = &self.request.state;
+        let terms = self.request.sending_terms(self.may_have_run);
+        state.shutdown.may_send(state.now(), &terms)
+    }
+
     /// Forwards the request to another daemon, as this one reaches no endpoint.
     async fn forward(
         &self,
@@ -553,11 +570,16 @@
         }
         let requested_at = state.now();
         let placement_request = self.placement_request(requested_at, first);
-        let decision = time::timeout(
-            millis::to_duration(request.remaining_ms()),
-            state.place(job, placement_request),
-        )
-        .await;
+        let terms = request.sending_terms(self.may_have_run);
+        let decision = tokio::select! {
+            decision = time::timeout(
+                millis::to_duration(request.remaining_ms()),
+                state.place(job, placement_request),
+            ) => decision,
+            () = state.shutdown.wait_for_last_sending(&state.clock, &terms) => {
+                return Err(attempt::shutdown_error());
+            }
+        };
         let waited = state.now() - requested_at;
         match decision {
             Ok(Some(job::PlacementDecision::Placed(plan))) => {
@@ -680,6 +702,9 @@
         plan: &job::PlacementPlan,
     ) -> Result<reservations::MemoryLease, attempt::AttemptError> {
         let request = self.request.clone();
+        if !self.may_send() {
+            return Err(attempt::shutdown_error());
+        }
         if let Some(endpoint) = self.closed_member(plan) {
             return Err(Self::unsent_error(endpoint));
         }
@@ -693,7 +718,11 @@
             at_fault: Some(endpoint),
             ..attempt::AttemptError::not_run(health::HealthSignal::Full, "memory_refused")
         })?;
-        // While memory was reserved, an endpoint may have been closed, or the prompt quarantined.
+        // While memory was reserved, the shutdown may have begun, an endpoint may have been closed, or
+        // the prompt quarantined.
+        if !self.may_send() {
+            return Err(attempt::shutdown_error());
+        }
         if let Some(error) = attempt::quarantined_error(&self.request) {
             return Err(error);
         }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -14,6 +14,7 @@
 use model::ids;
 use model::millis;
 use platform::headers;
+use pool::grace;
 use pool::routes;
 use tokio::sync::watch;
 use tokio::time;
@@ -34,8 +35,6 @@
 /// Expected generation time per token, ms: one and a half times the step of an engine that also
 /// serves other requests.
 const EXPECTED_TOKEN_MS: f64 = 1.6;
-/// `Retry-After` for a retry at another daemon, ms.
-const OTHER_DAEMON_RETRY_MS: u64 = 50;
 /// `Retry-After` of a daemon that has just started, ms: it has read the store by then.
 const STARTUP_RETRY_MS: u64 = 500;
 /// `Retry-After` during an outage of the store, ms: outages last several seconds, and clients retry
@@ -192,14 +191,17 @@
                 routes::RouteError::BadKey => response::LocalResponse::BadKey,
             })
         })?;
-    if state.may_interrupt(expected_ms(&route_match, &hints)) {
-        return Err(refuse(response::LocalResponse::NotRun {
-            reason: "shutting_down",
-            retry_after_ms: OTHER_DAEMON_RETRY_MS,
-        }));
-    }
     let route_timeout = route_match.route.timeout;
     let timeout = hints.timeout.unwrap_or(route_timeout).min(route_timeout);
+    let terms = grace::SendingTerms {
+        retry_safety: route_match.route.retry_safety,
+        may_have_run: hints.forwarded_runs.is_some_and(|runs| runs > 0),
+        deadline: arrived_at + millis::from_duration(timeout),
+        expected_ms: expected_ms(&route_match, &hints),
+    };
+    if !state.shutdown.may_send(state.now(), &terms) {
+        return Err(refuse(response::SHUTTING_DOWN));
+    }
     let limits = &index.config().limits;
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(refuse(response::LocalResponse::BodyTooLarge));
@@ -232,7 +234,8 @@
         headers: parts.headers.clone(),
         body,
         arrived_at,
-        deadline: arrived_at + millis::from_duration(timeout),
+        deadline: terms.deadline,
+        expected_ms: terms.expected_ms,
         sendings: cell::Cell::new(hints.forwarded_runs.unwrap_or_default()),
         hints,
         state,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod reservations;
 mod response;
 mod retry_permit;
+mod shutdown;
 mod state;
 mod store_cache;
 mod store_sync;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -133,7 +133,18 @@
 ) -> Result<http::Response<response::ResponseBody>, BrokenAttempt> {
     let limit = millis::to_duration(request.remaining_ms());
     let body = http_body_util::Limited::new(endpoint_response.body, MAX_BODY_BYTES);
-    let body_bytes = match time::timeout(limit, body.collect()).await {
+    let state = &request.state;
+    let collected = tokio::select! {
+        collected = time::timeout(limit, body.collect()) => collected,
+        () = state.shutdown.wait_for_last_response(&state.clock) => {
+            return Err((
+                endpoint_response.attempt,
+                health::HealthSignal::Inconclusive,
+                "shutting_down",
+            ));
+        }
+    };
+    let body_bytes = match collected {
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err((
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use model::ids;
 use model::millis;
 use platform::headers;
+use pool::grace;
 use pool::quarantine;
 use pool::routes;
 
@@ -44,6 +45,8 @@
     pub arrived_at: f64,
     /// Time by which the response must be complete, ms since the start of the process.
     pub deadline: f64,
+    /// Time that its response probably takes, ms.
+    pub expected_ms: f64,
     /// Number of times that it was sent to an endpoint, and of runs before it was forwarded here.
     pub sendings: cell::Cell<u32>,
 }
@@ -53,6 +56,16 @@
         self.deadline - self.state.now()
     }
 
+    /// Returns what decides during a shutdown whether it may still be sent.
+    pub fn sending_terms(&self, may_have_run: bool) -> grace::SendingTerms {
+        grace::SendingTerms {
+            retry_safety: self.route_match.route.retry_safety,
+            may_have_run,
+            deadline: self.deadline,
+            expected_ms: self.expected_ms,
+        }
+    }
+
     /// Returns the time for which requests like this one are declined, ms, as endpoints crash on
     /// them.
     pub fn quarantined_ms(&self) -> Option<f64> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -183,16 +183,15 @@
 /// already read.
 async fn drain(state: &state::DaemonState, close: &watch::Sender<bool>) {
     let grace = state.settings().bounds.grace();
-    let end =
-        time::Instant::now() + grace.saturating_sub(millis::to_duration(state::SHUTDOWN_MARGIN_MS));
-    state.begin_shutdown();
+    let grace_ms = millis::from_duration(grace);
+    let period = state.shutdown.start(state.now(), grace_ms);
     log::info!(target: "sardinepaddle", active = state.active_requests.get(), grace_ms = grace.as_millis();
         "daemon shutting down");
     time::sleep(BALANCER_NOTICE_TIME.min(grace / 2)).await;
     close.send_replace(true);
     // Clients may have sent further requests that aren't read yet.
     let mut idle_ticks = 0;
-    while idle_ticks < MIN_IDLE_TICKS && time::Instant::now() < end {
+    while idle_ticks < MIN_IDLE_TICKS && state.now() < period.exit_at() {
         time::sleep(TICK_PERIOD).await;
         idle_ticks = match state.active_requests.get() {
             0 => idle_ticks + 1,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,13 +32,9 @@
 use crate::message;
 use crate::metrics;
 use crate::reach;
+use crate::shutdown;
 use crate::store_cache;
 
-/// Time after SIGTERM during which every new request is accepted, ms; the load balancer has noticed
-/// by then. Later requests are accepted only if they are likely to finish before the process exits.
-const ACCEPT_ALL_MS: f64 = 3_000.0;
-/// Time before SIGKILL by which the process should have exited, ms.
-pub(crate) const SHUTDOWN_MARGIN_MS: f64 = 500.0;
 /// Time without a decision or a [`message::PlacementMessage::Queued`] after which a placement request is
 /// placed elsewhere, ms: several times the slowest exchange between two running daemons.
 const PLACER_RESPONSE_TIMEOUT_MS: f64 = 250.0;
@@ -109,8 +105,8 @@
     unsaved_quarantines: cell::RefCell<Vec<replica::ReplicaObject>>,
     /// Quarantined causes of crashes.
     quarantines: cell::RefCell<quarantine::QuarantineList>,
-    /// Time of the shutdown request, ms.
-    shutdown_started_at: cell::Cell<Option<f64>>,
+    /// The shutdown of the process.
+    pub shutdown: shutdown::ShutdownState,
     /// Object kinds for which the last call to the store failed.
     unreachable_kinds: cell::RefCell<[bool; store_cache::KIND_COUNT]>,
     group_history: cell::RefCell<shares::GroupHistory>,
@@ -180,7 +176,7 @@
             quarantines_restored: cell::Cell::new(false),
             unsaved_quarantines: cell::RefCell::default(),
             quarantines: cell::RefCell::default(),
-            shutdown_started_at: cell::Cell::new(None),
+            shutdown: shutdown::ShutdownState::default(),
             unreachable_kinds: cell::RefCell::default(),
             follower_reachability: cell::RefCell::default(),
             assigned_store_watch: cell::Cell::new(false),
@@ -564,17 +560,7 @@
 
     /// Whether the process was asked to exit.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutdown_started_at.get().is_some()
-    }
-
-    /// Whether the process exits so soon that a request of the given duration might be cut off.
-    pub fn may_interrupt(&self, expected_ms: f64) -> bool {
-        let Some(started_at) = self.shutdown_started_at.get() else {
-            return false;
-        };
-        let elapsed = self.now() - started_at;
-        let remaining = self.settings().bounds.grace_s * 1_000.0 - SHUTDOWN_MARGIN_MS - elapsed;
-        elapsed > ACCEPT_ALL_MS && expected_ms > remaining
+        self.shutdown.is_started()
     }
 
     /// Returns whether this daemon can place requests for others.
@@ -586,11 +572,6 @@
         }
     }
 
-    /// Starts the shutdown.
-    pub fn begin_shutdown(&self) {
-        self.shutdown_started_at.set(Some(self.now()));
-    }
-
     /// Records whether the last call to the store about a kind succeeded.
     pub fn set_store_reachable(&self, kind: catalog::ObjectKind, reachable: bool) {
         self.unreachable_kinds.borrow_mut()[kind as usize] = !reachable;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod crashes;
 pub mod engine;
+pub mod grace;
 pub mod health;
 pub mod hedge;
 pub mod holds;
