Show that a response which breaks off in its head is never passed on as whole

An endpoint cuts its response after each byte of head and body, on a new connection, after a whole response on a kept one, and behind another daemon; another daemon cuts it after each eleventh byte; the response to an order that reserves memory is cut after each byte of its head.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -1,5 +1,6 @@
 //! Runs the daemon as a real process with fakes of the users' platform.
 
+mod broken_heads;
 mod crashing_parts;
 mod crashing_requests;
 mod cut_off;
