End a stream at its deadline also while its client reads nothing

Cause: the deadline is noticed by the stream itself, which the HTTP library doesn't ask for more while the connection can't be written.

The connection knows the deadline of the stream that it writes, and is closed 0.25 s after it; a stream whose client reads has ended by itself then. Complete responses are delivered late as before.

stream_to_a_client_that_reads_nothing_is_ended_by_the_deadline failed before (the endpoint was still at work after 20 s) and passes now.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -118,6 +118,26 @@
     }
 }
 
+// Guards against an attempt that goes on past its deadline while its client reads nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_to_a_client_that_reads_nothing_is_ended_by_the_deadline() {
+    let (_store, endpoint, daemon) = start(RawResponse::EndlessEvents).await;
+    let mut client = net::TcpStream::connect(daemon.clients).unwrap();
+    let head = format!(
+        "POST /stream/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer {KEY}\r\n\
+         X-Attempt-Id: r1\r\nX-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+    );
+    let sent_at = Instant::now();
+    client.write_all(head.as_bytes()).unwrap();
+    RunningDaemon::wait_for("the response", || endpoint.open_count() == 1);
+    RunningDaemon::wait_for("its end", || endpoint.open_count() == 0);
+    assert!(sent_at.elapsed() < Duration::from_millis(2_500));
+    let mut received = Vec::new();
+    // The connection may be reset, as it ends with bytes that are not sent.
+    let _ = client.read_to_end(&mut received);
+    assert!(!received.ends_with(b"0\r\n\r\n"));
+}
+
 /// Copies of the response to another request, as they may come before the response to this one.
 const LATE_COPIES: [&str; 6] = [
     "HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-runner-signature: s\r\ncontent-length: 4\r\n\r\ncopy",
--- a/crates/gateway/src/client_stream.rs
+++ b/crates/gateway/src/client_stream.rs
@@ -10,15 +10,60 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use model::millis;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net;
+use tokio::sync;
+use tokio::time;
 
+use crate::clock;
 use crate::relay;
 use crate::response;
 use crate::state;
 
+/// Time after its deadline at which a stream ends with its connection, ms. A stream whose client reads
+/// has ended by itself then.
+const OVERDUE_MARGIN_MS: f64 = 250.0;
+
+/// Time at which a streamed response ends at the latest, ms since the start of the process; an
+/// extension of the response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamDeadline(pub f64);
+
+/// The deadline of the stream that a connection is writing, if it is writing one.
+#[derive(Clone, Default)]
+pub(crate) struct OpenStream(rc::Rc<OpenStreamState>);
+
+#[derive(Default)]
+struct OpenStreamState {
+    deadline: cell::Cell<Option<StreamDeadline>>,
+    changed: sync::Notify,
+}
+
+impl OpenStream {
+    fn set(&self, deadline: Option<StreamDeadline>) {
+        self.0.deadline.set(deadline);
+        self.0.changed.notify_one();
+    }
+
+    /// Waits until a stream is written past its deadline. Its body isn't asked for more while the client
+    /// reads nothing, so that the body doesn't notice.
+    pub async fn wait_until_overdue(&self, clock: &clock::MonotonicClock) {
+        loop {
+            let remaining = match self.0.deadline.get() {
+                Some(StreamDeadline(at)) => at + OVERDUE_MARGIN_MS - clock.now(),
+                None => f64::MAX,
+            };
+            tokio::select! {
+                () = time::sleep(millis::to_duration(remaining)) => return,
+                () = self.0.changed.notified() => {}
+            }
+        }
+    }
+}
+
 /// A request that counts as active until it is dropped.
 pub(crate) struct ActiveRequest(rc::Rc<state::DaemonState>);
 
@@ -110,26 +155,31 @@
     body: response::ResponseBody,
     request: Option<ActiveRequest>,
     responses: BufferedResponses,
+    stream: OpenStream,
 }
 
 impl TrackedBody {
-    /// Wraps the body of the response to a request.
-    pub fn new(
-        body: response::ResponseBody,
+    /// Wraps the body of the response to a request; `stream` is that of its connection.
+    pub fn wrap(
+        response: http::Response<response::ResponseBody>,
         request: ActiveRequest,
         responses: BufferedResponses,
-    ) -> Self {
-        Self {
+        stream: OpenStream,
+    ) -> http::Response<Self> {
+        stream.set(response.extensions().get().copied());
+        response.map(|body| Self {
             body,
             request: Some(request),
             responses,
-        }
+            stream,
+        })
     }
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
         self.responses.0.borrow_mut().extend(self.request.take());
+        self.stream.set(None);
     }
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -69,13 +69,18 @@
     let mut closing = context.closing.clone();
     let buffered = client_stream::BufferedResponses::default();
     let stream = client_stream::ClientStream::new(stream, buffered.clone());
+    let open_stream = client_stream::OpenStream::default();
+    let clock = context.state.clock;
+    let overdue = open_stream.clone();
+    let overdue = async move { overdue.wait_until_overdue(&clock).await };
     let service = hyper::service::service_fn(move |incoming| {
         let (context, buffered) = (context.clone(), buffered.clone());
+        let open_stream = open_stream.clone();
         async move {
             let active = client_stream::ActiveRequest::new(&context.state);
             let response = handle(context, client, incoming).await;
-            let track = |body| client_stream::TrackedBody::new(body, active, buffered);
-            Ok::<_, convert::Infallible>(response.map(track))
+            let tracked = client_stream::TrackedBody::wrap(response, active, buffered, open_stream);
+            Ok::<_, convert::Infallible>(tracked)
         }
     });
     // The library measures the header timeout from the end of the previous response, so it includes
@@ -85,19 +90,26 @@
         .header_read_timeout(limits.idle_timeout + limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    // A connection that is accepted during the shutdown ends with its first response.
-    if *closing.borrow() {
+    let connection = async move {
+        tokio::pin!(connection);
+        // A connection that is accepted during the shutdown ends with its first response.
+        if !*closing.borrow() {
+            let close_requested = closing.wait_for(|closing| *closing);
+            tokio::select! {
+                // Requests on a broken connection have ended and logged the reason.
+                _ = connection.as_mut() => return,
+                _ = close_requested => connection.as_mut().graceful_shutdown(),
+            }
+        }
         let _ = connection.await;
-        return;
-    }
-    let close_requested = closing.wait_for(|closing| *closing);
+    };
     tokio::select! {
-        // Requests on a broken connection have ended and logged the reason.
-        _ = connection.as_mut() => return,
-        _ = close_requested => connection.as_mut().graceful_shutdown(),
+        () = connection => {}
+        () = overdue => {
+            log::info!(target: "sardinepaddle", client:% = client;
+                "connection closed: its client didn't read the stream in time");
+        }
     }
-    let _ = connection.await;
 }
 
 async fn handle(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::attempt;
+use crate::client_stream;
 use crate::course;
 use crate::request;
 use crate::response;
@@ -182,11 +183,13 @@
 ) -> http::Response<response::ResponseBody> {
     let status = endpoint_response.status;
     let headers = client_headers(&endpoint_response.headers);
+    let deadline = client_stream::StreamDeadline(runner.request.deadline);
     let source = EventSource::new(endpoint_response);
     let body = StreamBody::new(relay_events(runner, source, recorder));
     let mut response = http::Response::new(Box::pin(body) as response::ResponseBody);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
+    response.extensions_mut().insert(deadline);
     response
 }
 
