Don't say "not run" of a request that had run before its repeat was refused

Cause: the refusal tells only of the sending that it answers, and took the place of what was known of the one before. Only requests that may run again are sent again so, which is why no order ran twice; but "not run" was untrue.

The reply of an exchange says whether the request was sent before, and a failed attempt with such a reply may have run.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -426,6 +426,24 @@
     });
 }
 
+// Guards against a refusal that tells nothing of the sending before it on a connection that broke.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_ran_before_its_repeat_was_refused_is_not_said_to_be_not_run() {
+    let (_store, endpoints, daemon) = deployment(&[EndpointScript::Respond]).await;
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "r1").status, 200);
+    endpoints[0].set_script(EndpointScript::CloseAfter {
+        delay: Duration::from_millis(200),
+    });
+    let response = std::thread::scope(|scope| {
+        let request = scope.spawn(|| daemon.call("GET /safe/ HTTP/1.1", "r2"));
+        RunningDaemon::wait_for("the request", || request_count(&endpoints) == 2);
+        endpoints[0].set_script(EndpointScript::Refuse);
+        request.join().unwrap()
+    });
+    assert!(request_count(&endpoints) >= 3);
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn client_disconnect_ends_its_request() {
     let script = EndpointScript::Pause {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -176,7 +176,13 @@
     }
 }
 
-pub(crate) type ExchangeReply = (upstream::UpstreamConnection, http::Response<Incoming>);
+/// The header of a response to a request that was sent.
+pub(crate) struct ExchangeReply {
+    connection: upstream::UpstreamConnection,
+    response: http::Response<Incoming>,
+    /// Whether the request was sent before on a connection that broke, and may have run.
+    ran_before: bool,
+}
 
 /// A request being sent to an endpoint.
 pub(crate) struct SentRequest {
@@ -249,7 +255,11 @@
             exchange: _,
         } = self;
         let checked = match reply {
-            Ok((connection, response)) => {
+            Ok(ExchangeReply {
+                connection,
+                response,
+                ran_before,
+            }) => {
                 record_notice(
                     request,
                     &plan.primary.endpoint,
@@ -260,7 +270,14 @@
                 let keep_alive = upstream::keep_alive_timeout(response.headers());
                 let reused = connection.is_reused();
                 let checked = check_response(request, response, &plan, reused).await;
-                checked.map(|parts| (connection, keep_alive, parts))
+                match checked {
+                    Ok(parts) => Ok((connection, keep_alive, parts)),
+                    Err(error) if ran_before => Err(AttemptError {
+                        execution: attempts::ExecutionStatus::MayHaveRun,
+                        ..error
+                    }),
+                    Err(error) => Err(error),
+                }
             }
             Err(error) => {
                 reach::check(&request.state, &plan.primary.endpoint).await;
@@ -599,7 +616,13 @@
                 force_new = true;
                 first_error = Some(error);
             }
-            reply => return Ok((connection, reply?)),
+            reply => {
+                return Ok(ExchangeReply {
+                    response: reply?,
+                    connection,
+                    ran_before: first_error.is_some(),
+                });
+            }
         }
     }
 }
