Rank a daemon in a circle by its own entry before it is listed

A daemon that starts could follow another one than the rest of its circle, so that two daemons placed the same requests until the next contact (daemon_does_not_follow_one_that_follows_it_in_turn, listed as flaky).

Cause: of daemons that follow each other the one ranked first places; a daemon whose first list lacked its own entry ranked itself last, whatever its size.

A circle is ranked with the daemon's own entry. Nothing else is: a daemon that knows only itself still follows the others that it knows.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -551,7 +551,11 @@
     mut followed: Vec<ids::HostId>,
 ) -> PlacerSelection {
     loop {
-        let first = state.rank.borrow().first_of(&followed).cloned();
+        let first = state
+            .rank
+            .borrow()
+            .first_of(&followed, &state.entry)
+            .cloned();
         let Some(first) = first else {
             return PlacerSelection::Unchanged;
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use model::millis;
-use model::serving;
 use process::listen;
 use process::scrape;
 use settings::gateway;
@@ -78,16 +77,9 @@
     let mut hangup = unix::signal(unix::SignalKind::hangup()).map_err(RunError::Signal)?;
     let log = logs::init(settings.host.as_str(), &settings.log_level);
     let metrics = metrics::GatewayMetrics::new()?;
-    let entry = serving::DaemonEntry {
-        host: settings.host.clone(),
-        centre: settings.data_centre.clone(),
-        address: settings.listen.peers,
-        callers: Some(settings.listen.callers),
-        cpu_millis: (settings.cpu_share * 1_000.0) as u32,
-    };
-    let entry = serde_json::to_string(&entry).map_err(RunError::Entry)?;
     let addresses = settings.listen.clone();
     let state = rc::Rc::new(state::DaemonState::new(settings, metrics, log));
+    let entry = serde_json::to_string(&state.entry).map_err(RunError::Entry)?;
     let upstreams = rc::Rc::new(upstream::UpstreamPool::default());
     let (close, closing) = watch::channel(false);
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use model::ids;
 use model::map;
 use model::millis;
+use model::serving;
 use platform::catalog;
 use platform::headers;
 use pool::budget;
@@ -77,6 +78,8 @@
 /// State of the daemon.
 pub(crate) struct DaemonState {
     pub settings: cell::RefCell<rc::Rc<gateway::GatewaySettings>>,
+    /// The entry of this daemon in the store.
+    pub entry: serving::DaemonEntry,
     pub clock: clock::MonotonicClock,
     pub incarnation: u64,
     pub metrics: metrics::GatewayMetrics,
@@ -134,6 +137,16 @@
     }
 }
 
+fn own_entry(settings: &gateway::GatewaySettings) -> serving::DaemonEntry {
+    serving::DaemonEntry {
+        host: settings.host.clone(),
+        centre: settings.data_centre.clone(),
+        address: settings.listen.peers,
+        callers: Some(settings.listen.callers),
+        cpu_millis: (settings.cpu_share * 1_000.0) as u32,
+    }
+}
+
 impl DaemonState {
     /// Creates the state of a daemon that has read nothing from the store.
     pub fn new(
@@ -152,6 +165,7 @@
         let mut placer = placer::JobPlacer::new(bounds);
         placer.set_hedge_limits(hedge_limits(&settings));
         Self {
+            entry: own_entry(&settings),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             clock: clock::MonotonicClock::start(),
             incarnation: rand::random(),
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -1,5 +1,6 @@
 //! Ranks the daemons to choose the placer and the daemons that watch the store.
 
+use std::cmp;
 use std::collections;
 
 use model::ids;
@@ -32,14 +33,17 @@
     backoffs: collections::BTreeMap<ids::HostId, BackoffEntry>,
 }
 
+/// Returns the key by which daemons are ranked.
+fn rank_key(daemon: &serving::DaemonEntry) -> (cmp::Reverse<u32>, u64) {
+    let hash = xxh3::xxh3_64(daemon.host.as_str().as_bytes());
+    (cmp::Reverse(daemon.cpu_millis), hash)
+}
+
 impl DaemonRank {
     /// Replaces the list of daemons.
     pub fn set_daemons(&mut self, daemons: &[serving::DaemonEntry]) {
         self.daemons = daemons.to_vec();
-        self.daemons.sort_by_cached_key(|daemon| {
-            let hash = xxh3::xxh3_64(daemon.host.as_str().as_bytes());
-            (std::cmp::Reverse(daemon.cpu_millis), hash)
-        });
+        self.daemons.sort_by_cached_key(rank_key);
     }
 
     /// Returns all daemons in order.
@@ -95,13 +99,18 @@
     }
 
     /// Returns the first of some daemons in the order of the rank. Daemons that follow each other in
-    /// a circle thus agree on which of them is the placer.
-    pub fn first_of<'a>(&self, hosts: &'a [ids::HostId]) -> Option<&'a ids::HostId> {
+    /// a circle thus agree on which of them is the placer. `own` is the entry of this daemon, which
+    /// may not be listed yet.
+    pub fn first_of<'a>(
+        &self,
+        hosts: &'a [ids::HostId],
+        own: &serving::DaemonEntry,
+    ) -> Option<&'a ids::HostId> {
         hosts.iter().min_by_key(|host| {
-            let mut daemons = self.daemons.iter();
-            daemons
-                .position(|daemon| daemon.host == **host)
-                .unwrap_or(usize::MAX)
+            let mut known = self.daemons.iter().chain([own]);
+            let entry = known.find(|daemon| daemon.host == **host);
+            // Unknown daemons come last.
+            (entry.is_none(), entry.map(rank_key))
         })
     }
 
--- a/crates/pool/tests/rank.rs
+++ b/crates/pool/tests/rank.rs
@@ -135,7 +135,22 @@
     let hosts = ["a1", "b1", "a2"].map(ids::HostId::new);
     let rotated = ["b1", "a2", "a1"].map(ids::HostId::new);
     for circle in [&hosts, &rotated] {
-        assert_eq!(daemons.first_of(circle).unwrap().as_str(), "b1");
+        let first = daemons.first_of(circle, &entry("a1", "a", 250));
+        assert_eq!(first.unwrap().as_str(), "b1");
     }
-    assert_eq!(daemons.first_of(&[]), None);
+    assert_eq!(daemons.first_of(&[], &entry("a1", "a", 250)), None);
+}
+
+// Guards against a daemon that ranks itself last before its own entry is listed, and follows another one
+// than the rest of its circle.
+#[test]
+fn daemon_that_is_not_listed_yet_has_its_rank_in_a_circle() {
+    let daemons = three_daemons();
+    let circle = ["a1", "c1", "b1"].map(ids::HostId::new);
+    let first = |cpu_millis| {
+        let own = entry("c1", "c", cpu_millis);
+        daemons.first_of(&circle, &own).unwrap().as_str()
+    };
+    assert_eq!(first(1_000), "c1");
+    assert_eq!(first(100), "b1");
 }
