--- a/crates/daemon/tests/behind_platform/broken_heads.rs
+++ b/crates/daemon/tests/behind_platform/broken_heads.rs
@@ -23,9 +23,9 @@
     raw::whole_response(&"x".repeat(ID_LENGTH)).len()
 }
 
-/// Returns a configuration with a service for each place at which a response can be cut, and routes of
-/// all kinds to them in turn.
-fn config(version: u64) -> Value {
+/// Returns a configuration with a service for each place at which a response can be cut, and a route to
+/// each, of all kinds in turn.
+fn config_of_cuts(version: u64) -> Value {
     let names: Vec<String> = (0..response_length())
         .map(|after| format!("s{after}"))
         .collect();
@@ -49,8 +49,8 @@
     config
 }
 
-/// Starts an endpoint for each of these services, which cuts a response after so many whole ones on the
-/// same connection.
+/// Starts an endpoint for each of these services. It cuts a response after `whole` whole ones on the same
+/// connection.
 async fn start_cut(store: &FakeObjectStore, whole: usize) -> Vec<RawEndpoint> {
     let mut endpoints = Vec::new();
     for after in 0..response_length() {
@@ -66,8 +66,8 @@
     endpoints
 }
 
-/// Sends so many requests to each service and returns those whose response is neither that of their attempt nor
-/// a failure. A stream may end early if that is visible.
+/// Sends `count` requests to each service and returns those whose response is neither that of their
+/// attempt nor a failure. A stream may end early if that is visible.
 fn wrong_responses(daemon: &RunningDaemon, count: usize) -> Vec<String> {
     let mut wrong = Vec::new();
     for number in 0..count * response_length() {
@@ -93,7 +93,7 @@
 }
 
 async fn start_daemon(store: &FakeObjectStore) -> RunningDaemon {
-    store.put("config", "main", config(1));
+    store.put("config", "main", config_of_cuts(1));
     let bounds = "bounds: { grace_s: 6, retry_extra: 1000 }\n";
     let daemon = RunningDaemon::start_with_settings(store, "h1", bounds);
     daemon.wait_ready();
@@ -126,7 +126,7 @@
         own_store.put("servers", &endpoint.id, entry);
     }
     for store in [store, own_store] {
-        store.put("config", "main", config(2));
+        store.put("config", "main", config_of_cuts(2));
     }
     let has_config = |daemon: &RunningDaemon| daemon.log().matches("config applied").count() == 2;
     let daemons = deployment.others.iter().chain([&deployment.daemon]);
--- a/crates/daemon/tests/behind_platform/outdated_lists.rs
+++ b/crates/daemon/tests/behind_platform/outdated_lists.rs
@@ -1,9 +1,11 @@
 //! Lists of the store that are seconds old when a daemon starts.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use platform_fakes::endpoint::EndpointScript;
 use platform_fakes::store::FakeObjectStore;
+use serde_json::json;
 
 use crate::support;
 use crate::support::PROGRAM;
@@ -51,6 +53,23 @@
     assert!(late.log().contains(removed), "still listed by its follower");
 }
 
+// Guards against a data centre that is taken out of service again by the list of one daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_removed_before_the_start_stays_so_though_a_list_still_has_it() {
+    let store = FakeObjectStore::start().await;
+    let config = support::config(1, &support::default_routes());
+    store.put("config", "main", config);
+    store.put("evacuations", "a", json!({}));
+    let _endpoints = support::start_endpoints(&store, &[EndpointScript::Respond; 2]).await;
+    let (current, late) = start_after(&store, |store| store.remove("evacuations", "a")).await;
+    let followed_at = Instant::now();
+    while followed_at.elapsed() < REMOVAL_TIME {
+        assert_eq!(current.call("GET /safe/ HTTP/1.1", "r1").status, 200);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(late.call("GET /safe/ HTTP/1.1", "r2").status, 200);
+}
+
 // Guards against taking a list that is older than an object for its removal.
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_added_before_the_start_is_served_though_a_list_lacks_it() {
--- a/crates/daemon/tests/behind_platform/shutdown.rs
+++ b/crates/daemon/tests/behind_platform/shutdown.rs
@@ -22,7 +22,7 @@
 const ARRIVAL_INTERVAL: Duration = Duration::from_millis(150);
 /// Time for which endpoints work on requests, ms: less than the grace period leaves after the time in
 /// which each request is accepted.
-const RUN_TIMES_MS: [u64; 3] = [50, 900, 2_300];
+const RUN_TIMES_MS: [u64; 3] = [50, 900, 2_000];
 /// Time for which an endpoint works on the order that keeps the daemon running, ms.
 const LONG_RUN_MS: u64 = 5_000;
 const ROUTES: [&str; 4] = ["safe", "once", "stream", "live"];
@@ -45,6 +45,24 @@
     response: support::ReceivedResponse,
 }
 
+/// A response and when it was asked for and ended.
+struct SentTimes {
+    sent_at: Instant,
+    ended_at: Instant,
+    response: support::ReceivedResponse,
+}
+
+impl SentTimes {
+    fn record(self, id: String, terminated_at: Instant) -> ClientRecord {
+        ClientRecord {
+            id,
+            sent_after: self.sent_at.saturating_duration_since(terminated_at),
+            took: self.ended_at - self.sent_at,
+            response: self.response,
+        }
+    }
+}
+
 /// The connection of a client that sends one request after another.
 struct KeptConnection {
     stream: net::TcpStream,
@@ -141,23 +159,6 @@
     times
 }
 
-struct SentTimes {
-    sent_at: Instant,
-    ended_at: Instant,
-    response: support::ReceivedResponse,
-}
-
-impl SentTimes {
-    fn record(self, id: String, terminated_at: Instant) -> ClientRecord {
-        ClientRecord {
-            id,
-            sent_after: self.sent_at.saturating_duration_since(terminated_at),
-            took: self.ended_at - self.sent_at,
-            response: self.response,
-        }
-    }
-}
-
 /// Sends SIGTERM to a daemon that runs an order, and requests of all kinds until it has ended.
 fn shut_down(daemon: &RunningDaemon, body_pause: Option<Duration>) -> Vec<ClientRecord> {
     shut_down_behind(daemon, daemon.clients, &ROUTES, body_pause)
--- a/crates/daemon/tests/behind_platform/store_return.rs
+++ b/crates/daemon/tests/behind_platform/store_return.rs
@@ -91,6 +91,7 @@
     RunningDaemon::wait_for("a response", || is_served(&daemon, "safe"));
 }
 
+// Guards against a cut watch that counts as an outage, so that removals after it are deferred.
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_removed_after_the_watches_were_cut_off_gets_no_requests() {
     let (store, _endpoints, daemon) = support::deployment(&[EndpointScript::Respond; 2]).await;
