Don't close a new connection whose first request is on its way

A client that connected in the last moments before a stopping daemon closes its connections (2.6 s after SIGTERM) got no response to its first request; a daemon that had forwarded an order so told its client 502, as the order may have run.

Cause: all connections are told to end after the present request, and one that hasn't read any ends at once.

A connection without a request so far is left open; it ends with its first response, which says so. The exit doesn't wait for it.

first_request_of_a_connection_opened_before_the_close_gets_a_response failed before (no response) and passes now.

--- a/crates/daemon/tests/behind_platform/shutdown.rs
+++ b/crates/daemon/tests/behind_platform/shutdown.rs
@@ -310,6 +310,29 @@
     );
 }
 
+// Guards against closing a new connection, in the shutdown, whose first request is on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_request_of_a_connection_opened_before_the_close_gets_a_response() {
+    let (_store, endpoints, daemon) = start(ENOUGH_SLOTS).await;
+    let running = thread::spawn({
+        let clients = daemon.clients;
+        move || send(clients, &format!("/once/{LONG_RUN_MS}"), "long", None)
+    });
+    RunningDaemon::wait_for("the order", || has_run(&endpoints, "long"));
+    daemon.process.terminate();
+    thread::sleep(Duration::from_millis(2_300));
+    let mut connections: Vec<_> = (0..KEPT_CONNECTIONS)
+        .map(|_| KeptConnection::open(daemon.clients))
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let response = connection.send("/once/0", &format!("r{number}")).response;
+        assert!(matches!(response.status, 200 | 503), "{response:?}");
+        assert!(response.head.contains("connection: close"), "{response:?}");
+    }
+    assert_eq!(running.join().unwrap().response.status, 200);
+}
+
 // Guards against a request that is forwarded to a daemon which exits before it has the response.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_forwarded_to_a_daemon_that_shuts_down_are_finished_or_refused() {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -73,9 +73,12 @@
     let clock = context.state.clock;
     let overdue = open_stream.clone();
     let overdue = async move { overdue.wait_until_overdue(&clock).await };
+    let has_requested = rc::Rc::new(cell::Cell::new(false));
+    let requested = has_requested.clone();
     let service = hyper::service::service_fn(move |incoming| {
         let (context, buffered) = (context.clone(), buffered.clone());
         let open_stream = open_stream.clone();
+        requested.set(true);
         async move {
             let active = client_stream::ActiveRequest::new(&context.state);
             let response = handle(context, client, incoming).await;
@@ -92,14 +95,16 @@
         .serve_connection(TokioIo::new(stream), service);
     let connection = async move {
         tokio::pin!(connection);
-        // A connection that is accepted during the shutdown ends with its first response.
-        if !*closing.borrow() {
-            let close_requested = closing.wait_for(|closing| *closing);
-            tokio::select! {
-                // Requests on a broken connection have ended and logged the reason.
-                _ = connection.as_mut() => return,
-                _ = close_requested => connection.as_mut().graceful_shutdown(),
-            }
+        let close_requested = closing.wait_for(|closing| *closing);
+        tokio::select! {
+            // Requests on a broken connection have ended and logged the reason.
+            _ = connection.as_mut() => return,
+            _ = close_requested => {}
+        }
+        // The first request of a new connection may be on its way; the connection ends with the
+        // response.
+        if has_requested.get() {
+            connection.as_mut().graceful_shutdown();
         }
         let _ = connection.await;
     };
