Removals are deferred only after outages in which entries may expire

Cause: one failed call counted as an outage of the store, and removals were deferred by 2.2 s from the moment at which the daemon noticed the return. Evidence: 'store reachable again' and 'removal deferred' in the same moment of the log. Change: pool::outage. Entries expire after missed heartbeats only, so shorter gaps between responses defer nothing; the deferral counts from the last failed call. Silent watches are repeated on another connection after 0.7 s.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use pool::hedge;
 use pool::job;
 use pool::limits;
+use pool::outage;
 use pool::placer;
 use pool::quarantine;
 use pool::quiet;
@@ -112,6 +113,8 @@
     pub shutdown: shutdown::ShutdownState,
     /// Object kinds for which the last call to the store failed.
     unreachable_kinds: cell::RefCell<[bool; store_cache::KIND_COUNT]>,
+    /// Outages of the store, in which entries of endpoints may expire.
+    store_outages: cell::RefCell<outage::OutageTracker>,
     group_history: cell::RefCell<shares::GroupHistory>,
     /// What this daemon may send more than once.
     pub retry_budget: cell::RefCell<budget::DaemonBudget>,
@@ -137,6 +140,13 @@
     }
 }
 
+fn outage_bounds(settings: &gateway::GatewaySettings) -> outage::OutageBounds {
+    outage::OutageBounds {
+        heartbeat_ms: settings.bounds.heartbeat_ms,
+        contact_ms: settings.bounds.contact_ms,
+    }
+}
+
 fn own_entry(settings: &gateway::GatewaySettings) -> serving::DaemonEntry {
     serving::DaemonEntry {
         host: settings.host.clone(),
@@ -163,6 +173,7 @@
             cold_extra: bounds.cold_extra,
         };
         let mut placer = placer::JobPlacer::new(bounds);
+        let outages = outage::OutageTracker::new(outage_bounds(&settings));
         placer.set_hedge_limits(hedge_limits(&settings));
         Self {
             entry: own_entry(&settings),
@@ -192,6 +203,7 @@
             quarantines: cell::RefCell::default(),
             shutdown: shutdown::ShutdownState::default(),
             unreachable_kinds: cell::RefCell::default(),
+            store_outages: cell::RefCell::new(outages),
             follower_reachability: cell::RefCell::default(),
             assigned_store_watch: cell::Cell::new(false),
             announced_placer: cell::RefCell::default(),
@@ -210,6 +222,8 @@
     pub fn set_settings(&self, settings: gateway::GatewaySettings) {
         let limits = hedge_limits(&settings);
         self.placer.borrow_mut().set_hedge_limits(limits);
+        let bounds = outage_bounds(&settings);
+        self.store_outages.borrow_mut().set_bounds(bounds);
         *self.settings.borrow_mut() = rc::Rc::new(settings);
     }
 
@@ -289,7 +303,30 @@
 
     /// Records that the objects of a kind are up to date.
     pub fn mark_synced(&self, kind: catalog::ObjectKind) {
-        self.cache.borrow_mut().mark_synced(self.now(), kind);
+        let now = self.now();
+        self.cache.borrow_mut().mark_synced(now, kind);
+        self.record_store_response(now);
+    }
+
+    /// Records that the store responded to this daemon or to another one.
+    fn record_store_response(&self, at: f64) {
+        let ended = self.store_outages.borrow_mut().record_response(at);
+        let Some(outage) = ended else {
+            return;
+        };
+        let deferral_ms = (outage.deferred_until - self.now()).max(0.0);
+        log::info!(target: "sardinepaddle", outage_ms = outage.length_ms, deferral_ms;
+            "store outage ended: removals of endpoints are deferred");
+    }
+
+    /// Records a failed call to the store.
+    pub fn record_store_failure(&self, sent_at: f64) {
+        self.store_outages.borrow_mut().record_failure(sent_at);
+    }
+
+    /// Returns the time until which removals of endpoints are deferred, ms.
+    pub fn removals_deferred_until(&self) -> f64 {
+        self.store_outages.borrow().deferred_until()
     }
 
     /// Merges the ages that another daemon reported with the latest era that it knows. Those of an
@@ -297,7 +334,12 @@
     pub fn merge_ages(&self, ages_ms: &[u64], era: u64, source: &str) {
         self.observe_era(era, source);
         if era == self.store_era() {
-            self.cache.borrow_mut().merge_ages(self.now(), ages_ms);
+            let last_response_at = {
+                let mut cache = self.cache.borrow_mut();
+                cache.merge_ages(self.now(), ages_ms);
+                cache.last_synced_at()
+            };
+            self.record_store_response(last_response_at);
         }
     }
 
@@ -615,6 +657,12 @@
         }
     }
 
+    /// Whether this daemon neither follows another one nor has followers.
+    pub fn is_alone(&self) -> bool {
+        let places_locally = matches!(&*self.placer_location.borrow(), PlacerLocation::Local);
+        places_locally && !self.places_for_others()
+    }
+
     /// Records whether the placer selected this daemon to watch the store on behalf of others.
     pub fn set_assigned_store_watch(&self, watch_store: bool) {
         self.assigned_store_watch.set(watch_store);
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -164,6 +164,11 @@
         self.synced_at[kind as usize]
     }
 
+    /// Returns the time at which the store last confirmed any kind, ms.
+    pub fn last_synced_at(&self) -> f64 {
+        self.synced_at.into_iter().fold(f64::NEG_INFINITY, f64::max)
+    }
+
     /// Records that the objects of a kind are up to date.
     pub fn mark_synced(&mut self, now: f64, kind: catalog::ObjectKind) {
         self.synced_at[kind as usize] = now;
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -41,15 +41,18 @@
 /// Maximum backoff after a failed call for daemons that watch only on their own behalf: the store
 /// handles and counts the calls of all of them.
 const STANDBY_MAX_BACKOFF: Duration = Duration::from_millis(6_000);
-/// Minimum and maximum backoff after a failed call.
+/// Minimum and maximum backoff after a failed registration.
 const RETRY_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
-/// Delay of a watch response beyond its wait from which the store counts as having been
-/// unreachable, ms.
-const LATE_RESPONSE_MS: f64 = 700.0;
-/// Time after an outage of the store during which removals of endpoints are deferred, ms: entries
-/// that expired during the outage are back within two seconds if their endpoint is alive.
-const REMOVAL_DEFER_MS: f64 = 2_200.0;
+/// Minimum and maximum backoff after a failed call of a daemon that watches for others or has none:
+/// the return of the store must be noticed well before removals have to be applied.
+const WATCH_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(250));
+/// Delay of a watch response beyond its wait from which its connection counts as silent.
+const LATE_RESPONSE: Duration = Duration::from_millis(700);
+/// Time for which an endpoint that the store lost by coming back from an older copy is kept, ms: it
+/// registers again within two seconds if it is alive.
+const LOST_ENDPOINT_DEFER_MS: f64 = 2_200.0;
 /// Time for which an entry that the store lost by coming back from an older copy is kept until its
 /// writer has written it again, ms: operators may take a while, daemons register within seconds.
 const LOST_CENTRE_DEFER_MS: f64 = 30_000.0;
@@ -74,15 +77,13 @@
     stamp: Option<replica::ObjectStamp>,
     /// Whether the kind has been listed since the start of the process.
     has_listed: bool,
-    /// Whether the last call failed or its response was late.
+    /// Whether the last call failed.
     unreachable: bool,
-    /// Whether the last watch lost its connection while it waited. The next one returns at once and
-    /// tells whether the store is reachable.
+    /// Whether the last watch lost its connection while it waited, or got no response on it. The next
+    /// one returns at once and tells whether the store is reachable.
     resuming: bool,
     /// Whether all entries since the last list could be read.
     is_complete: bool,
-    /// Time at which the store became reachable again, ms.
-    recovered_at: f64,
     /// Deferred removals by object name.
     deferred: map::HashMap<String, DeferredRemoval>,
 }
@@ -107,7 +108,6 @@
             unreachable: false,
             resuming: false,
             is_complete: false,
-            recovered_at: f64::NEG_INFINITY,
             deferred: map::HashMap::default(),
         };
         tokio::task::spawn_local(watcher.run());
@@ -195,7 +195,7 @@
 
 impl ObjectWatcher {
     async fn run(mut self) {
-        let (min_backoff, max_backoff) = RETRY_BACKOFF;
+        let (min_backoff, max_backoff) = WATCH_BACKOFF;
         let mut backoff = min_backoff;
         loop {
             self.apply_due_removals();
@@ -204,11 +204,10 @@
                 continue;
             }
             if self.waits_for_config() {
-                // Entries may expire in this outage, although no call about them fails.
-                self.unreachable = true;
                 time::sleep(IDLE_CHECK_PERIOD).await;
                 continue;
             }
+            let sent_at = self.state.now();
             match self.poll().await {
                 Ok(changed) => {
                     backoff = min_backoff;
@@ -217,12 +216,12 @@
                     }
                 }
                 Err(error) => {
-                    self.record_failure(&error);
+                    self.record_failure(&error, sent_at);
                     time::sleep(backoff).await;
-                    let max_backoff = if self.state.watches_store() {
-                        max_backoff
-                    } else {
-                        STANDBY_MAX_BACKOFF
+                    let has_priority = self.state.watches_store() || self.state.is_alone();
+                    let max_backoff = match has_priority {
+                        true => max_backoff,
+                        false => STANDBY_MAX_BACKOFF,
                     };
                     backoff = (backoff * 2).min(max_backoff);
                 }
@@ -346,17 +345,16 @@
 
     async fn watch(&mut self, stamp: replica::ObjectStamp) -> store::Result<bool> {
         let revision = stamp.revision;
-        let requested_at = self.state.now();
-        let wait = match self.resuming {
-            true => Duration::ZERO,
-            false => self.watch_wait(),
-        };
-        let state = self.state.clone();
-        let is_late = || {
-            let lateness_ms = state.now() - requested_at - millis::from_duration(wait);
-            lateness_ms > LATE_RESPONSE_MS
+        let watching = match self.resuming {
+            true => self.client.watch(self.kind, revision, Duration::ZERO).await,
+            false => {
+                let wait = self.watch_wait();
+                let watching = self.client.watch(self.kind, revision, wait);
+                let watching = time::timeout(wait + LATE_RESPONSE, watching).await;
+                watching.unwrap_or(Err(store::StoreError::TimedOut))
+            }
         };
-        let batch = match self.client.watch(self.kind, revision, wait).await {
+        let batch = match watching {
             Err(store::StoreError::HistoryGone) => {
                 log::info!(target: "sardinepaddle", kind = self.kind.name(), revision;
                     "history no longer available: listing again");
@@ -366,8 +364,8 @@
                 self.stamp = None;
                 return Ok(false);
             }
-            Err(store::StoreError::ConnectionLost(error)) if !self.resuming && !is_late() => {
-                log::info!(target: "sardinepaddle", kind = self.kind.name(), revision, error;
+            Err(error) if !self.resuming && error.is_of_connection() => {
+                log::info!(target: "sardinepaddle", kind = self.kind.name(), revision, error:% = error;
                     "watch cut off: resuming it");
                 self.state.metrics.store_call(self.kind.name(), "cut_off");
                 self.resuming = true;
@@ -381,7 +379,6 @@
             self.stamp = None;
             return Ok(false);
         }
-        self.unreachable = self.unreachable || is_late();
         self.record_success();
         self.log_skipped(&batch.skipped);
         let next_stamp = replica::ObjectStamp {
@@ -448,8 +445,8 @@
         let is_lost = known.is_some_and(|known| known.era < stamp.era);
         let now = self.state.now();
         match (self.kind, is_lost) {
-            (catalog::ObjectKind::Endpoints, true) => now + REMOVAL_DEFER_MS,
-            (catalog::ObjectKind::Endpoints, false) => self.recovered_at + REMOVAL_DEFER_MS,
+            (catalog::ObjectKind::Endpoints, true) => now + LOST_ENDPOINT_DEFER_MS,
+            (catalog::ObjectKind::Endpoints, false) => self.state.removals_deferred_until(),
             (catalog::ObjectKind::Emptied, true) => now + LOST_CENTRE_DEFER_MS,
             (catalog::ObjectKind::Daemons, true) => now + LOST_DAEMON_DEFER_MS,
             // A configuration stays in force until a newer version replaces it.
@@ -516,13 +513,13 @@
         self.state.set_store_reachable(self.kind, true);
         if self.unreachable {
             self.unreachable = false;
-            self.recovered_at = self.state.now();
             log::info!(target: "sardinepaddle", kind; "store reachable again");
         }
     }
 
-    fn record_failure(&mut self, error: &store::StoreError) {
+    fn record_failure(&mut self, error: &store::StoreError, sent_at: f64) {
         self.resuming = false;
+        self.state.record_store_failure(sent_at);
         let kind = self.kind.name();
         self.state.metrics.store_call(kind, "failed");
         self.state.set_store_reachable(self.kind, false);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod holds;
 pub mod job;
 pub mod limits;
+pub mod outage;
 pub mod passes;
 pub mod placer;
 pub mod quarantine;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -93,6 +93,11 @@
     pub endpoints_ms: f64,
     /// Time after which a data centre out of service must get no more requests, in milliseconds.
     pub emptied_ms: f64,
+    /// Interval at which endpoints write their entries in the store, in milliseconds.
+    pub heartbeat_ms: f64,
+    /// Time after which a daemon whose connections work again must follow all removals, in
+    /// milliseconds.
+    pub contact_ms: f64,
 }
 
 /// Second attempts beside slow ones, for requests that may be repeated.
@@ -130,6 +135,8 @@
             config_ms: 2_000.0,
             endpoints_ms: 2_000.0,
             emptied_ms: 5_000.0,
+            heartbeat_ms: 1_200.0,
+            contact_ms: 3_000.0,
         }
     }
 }
@@ -195,6 +202,8 @@
         ("bounds.config_ms", "above 0", bounds.config_ms > 0.0),
         ("bounds.endpoints_ms", "above 0", bounds.endpoints_ms > 0.0),
         ("bounds.emptied_ms", "above 0", bounds.emptied_ms > 0.0),
+        ("bounds.heartbeat_ms", "above 0", bounds.heartbeat_ms > 0.0),
+        ("bounds.contact_ms", "above 0", bounds.contact_ms > 0.0),
         ("hedging", "shares of 0 to 1", settings.hedging.is_valid()),
     ];
     for (field, range, is_valid) in checks {
