Attempts that are given up reset their connections

Cause: a dropped connection was closed in the ordinary way, so that the system went on sending what the endpoint hadn't acknowledged. Change: connections to endpoints and other daemons are closed with a zero linger. Weighed: an attempt that is given up closes its connection anyway, kept or not; idle connections that time out are reset too, which loses nothing, as both directions are empty. Test: request_that_was_given_up_is_not_delivered_later failed on (the request arrived whole).

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -118,6 +118,23 @@
     }
 }
 
+// Guards against a request that was given up and is delivered to its endpoint all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_was_given_up_is_not_delivered_later() {
+    let after = Duration::from_millis(2_000);
+    // Longer than what the endpoint's system receives before the endpoint reads.
+    let body = "x".repeat(60_000);
+    for line in ["POST /once/ HTTP/1.1", "POST /stream/ HTTP/1.1"] {
+        let (_store, endpoint, daemon) = start(RawResponse::ReadLate { after }).await;
+        let key = format!("Authorization: Bearer {KEY}");
+        let headers = ["X-Attempt-Id: r1", &key, "X-Deadline-Ms: 800"];
+        let received = support::send_request_with(daemon.clients, line, &headers, &body);
+        assert_eq!(received.status, 504, "{line}");
+        std::thread::sleep(after);
+        assert_eq!(endpoint.attempt_ids(), [] as [&str; 0], "{line}");
+    }
+}
+
 // Guards against an attempt that goes on past its deadline while its client reads nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_to_a_client_that_reads_nothing_is_ended_by_the_deadline() {
--- a/crates/daemon/tests/behind_platform/support.rs
+++ b/crates/daemon/tests/behind_platform/support.rs
@@ -183,6 +183,16 @@
 }
 
 pub fn send_request(address: net::SocketAddr, line: &str, headers: &[&str]) -> ReceivedResponse {
+    send_request_with(address, line, headers, "")
+}
+
+/// Sends a request with a body.
+pub fn send_request_with(
+    address: net::SocketAddr,
+    line: &str,
+    headers: &[&str],
+    body: &str,
+) -> ReceivedResponse {
     let Ok(mut stream) = net::TcpStream::connect(address) else {
         return ReceivedResponse::default();
     };
@@ -191,7 +201,11 @@
         text.push_str(header);
         text.push_str("\r\n");
     }
+    if !body.is_empty() {
+        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
     text.push_str("\r\n");
+    text.push_str(body);
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     stream.write_all(text.as_bytes()).unwrap();
     let mut bytes = Vec::new();
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -59,10 +59,12 @@
     stream.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "timed out"))?
 }
 
-/// Disables Nagle's algorithm and makes the connection fail once its endpoint has disappeared
-/// without closing it.
+/// Configures a connection for requests: without Nagle's algorithm, failing once its endpoint has
+/// disappeared without closing it, and reset when it is closed. What the endpoint hasn't read by then
+/// belongs to a request that was given up, and must not arrive later.
 pub fn tune(stream: &net::TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    stream.set_zero_linger()?;
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_PERIOD)
