--- a/crates/daemon/tests/behind_platform/odd_entries.rs
+++ b/crates/daemon/tests/behind_platform/odd_entries.rs
@@ -112,3 +112,26 @@
         assert_follows(&store, daemon, id).await;
     }
 }
+
+// Guards against a list that never ends, so that the daemon never gets ready, as a name of a foreign
+// entry needs escapes or no entry of a page can be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_gets_ready_though_pages_of_lists_have_only_foreign_entries() {
+    for page_length in [1, 2] {
+        let store = FakeObjectStore::start().await;
+        store.set_page_length(page_length);
+        let config = support::config(1, &support::default_routes());
+        store.put("config", "main", config);
+        for kind in KINDS {
+            for name in ["a00%#", "a01%41", "a02&b=", "a03+", "a04\u{e9}", "a05 ?/"] {
+                store.put(kind, name, serde_json::json!(["foreign"]));
+                store.put_unreadable(kind, &format!("{name}-unreadable"));
+            }
+        }
+        let mut daemon = RunningDaemon::start(&store, "h1");
+        daemon.wait_ready();
+        assert_follows(&store, &mut daemon, "z1").await;
+        // Five kinds, each listed once, and what the daemon calls besides.
+        assert!(store.calls() < 200, "{} calls", store.calls());
+    }
+}
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -48,6 +48,8 @@
 /// the return of the store must be noticed well before removals have to be applied.
 const WATCH_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(250));
+/// Minimum backoff after a response that can't be used.
+const CONTENT_BACKOFF: Duration = Duration::from_millis(1_000);
 /// Delay of a watch response beyond its wait from which its connection counts as silent.
 const LATE_RESPONSE: Duration = Duration::from_millis(700);
 /// Time for which an endpoint that the store lost by coming back from an older copy is kept, ms: it
@@ -217,12 +219,15 @@
                 }
                 Err(error) => {
                     self.record_failure(&error, sent_at);
-                    time::sleep(backoff).await;
                     let has_priority = self.state.watches_store() || self.state.is_alone();
-                    let max_backoff = match has_priority {
+                    let max_backoff = match has_priority && !error.is_of_content() {
                         true => max_backoff,
                         false => STANDBY_MAX_BACKOFF,
                     };
+                    if error.is_of_content() {
+                        backoff = backoff.max(CONTENT_BACKOFF);
+                    }
+                    time::sleep(backoff).await;
                     backoff = (backoff * 2).min(max_backoff);
                 }
             }
@@ -371,6 +376,10 @@
                 self.resuming = true;
                 return Ok(false);
             }
+            Err(error) if error.is_of_content() => {
+                self.stamp = None;
+                return Err(error);
+            }
             batch => batch?,
         };
         self.resuming = false;
@@ -519,9 +528,14 @@
 
     fn record_failure(&mut self, error: &store::StoreError, sent_at: f64) {
         self.resuming = false;
-        self.state.record_store_failure(sent_at);
         let kind = self.kind.name();
         self.state.metrics.store_call(kind, "failed");
+        if error.is_of_content() {
+            log::warn!(target: "sardinepaddle", kind, error:% = error;
+                "response of the store can't be used: listing again");
+            return;
+        }
+        self.state.record_store_failure(sent_at);
         self.state.set_store_reachable(self.kind, false);
         log::debug!(target: "sardinepaddle", kind, leads:% = self.state.watches_store(), error:% = error;
             "store call failed");
