Settings without a value count as missing

What operators saw: a daemon ended with 1 where the platform had no value for a field, as 'emptied_ms:' (FAULT). Cause: an empty field was decoded as a wrong type; worse, an empty 'host:' became a host without a name. Change: fields without a value are removed before decoding, so that they get their defaults or an error that names them; they are logged.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -13,6 +13,7 @@
 mod raw_responses;
 mod reservations;
 mod retry_budget;
+mod settings_template;
 mod shutdown;
 mod store_connections;
 mod store_return;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -77,6 +77,7 @@
     let mut hangup = unix::signal(unix::SignalKind::hangup()).map_err(RunError::Signal)?;
     let log = logs::init(settings.host.as_str(), &settings.log_level);
     let metrics = metrics::GatewayMetrics::new()?;
+    log_empty_fields(&settings);
     let addresses = settings.listen.clone();
     let state = rc::Rc::new(state::DaemonState::new(settings, metrics, log));
     let entry = serde_json::to_string(&state.entry).map_err(RunError::Entry)?;
@@ -125,6 +126,13 @@
     Ok(())
 }
 
+fn log_empty_fields(settings: &gateway::GatewaySettings) {
+    if !settings.empty_fields.is_empty() {
+        let fields = settings.empty_fields.join(",");
+        log::warn!(target: "sardinepaddle", fields; "settings without a value: using their defaults");
+    }
+}
+
 async fn tick(state: rc::Rc<state::DaemonState>, upstreams: rc::Rc<upstream::UpstreamPool>) {
     let mut ticks = time::interval(TICK_PERIOD);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -161,6 +169,7 @@
     match gateway::parse(&path.display().to_string(), &text) {
         Ok(settings) => {
             logs::set_level(&settings.log_level);
+            log_empty_fields(&settings);
             state.set_settings(settings);
             log::info!(target: "sardinepaddle", changed = 1; "settings reloaded");
         }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -48,6 +48,9 @@
     /// Log level.
     #[serde(default = "default_level")]
     pub log_level: String,
+    /// Paths of the fields that have no value, and are read as if they were missing.
+    #[serde(skip)]
+    pub empty_fields: Vec<String>,
 }
 
 fn default_share() -> f64 {
@@ -179,13 +182,13 @@
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, GatewayError>;
 
-/// Parses and checks the text of a settings file.
+/// Parses and checks the text of a settings file. A field without a value counts as missing: the
+/// platform renders fields like this whose values it doesn't have.
 pub fn parse(name: &str, text: &str) -> Result<GatewaySettings> {
-    let settings: GatewaySettings =
-        serde_yaml_ng::from_str(text).map_err(|source| GatewayError::Malformed {
-            name: name.to_owned(),
-            source,
-        })?;
+    let settings = decode(text).map_err(|source| GatewayError::Malformed {
+        name: name.to_owned(),
+        source,
+    })?;
     let bounds = &settings.bounds;
     let checks = [
         ("cpu_share", "above 0", settings.cpu_share > 0.0),
@@ -215,6 +218,41 @@
     Ok(settings)
 }
 
+/// Decodes settings. An error has its position in the text if all fields have values.
+fn decode(text: &str) -> std::result::Result<GatewaySettings, serde_yaml_ng::Error> {
+    let mut value: serde_yaml_ng::Value = serde_yaml_ng::from_str(text)?;
+    let mut empty_fields = Vec::new();
+    remove_empty(&mut value, "", &mut empty_fields);
+    if empty_fields.is_empty() {
+        return serde_yaml_ng::from_str(text);
+    }
+    let settings: GatewaySettings = serde_yaml_ng::from_value(value)?;
+    Ok(GatewaySettings {
+        empty_fields,
+        ..settings
+    })
+}
+
+/// Removes the fields without a value from a mapping and those in it, and adds their paths to `paths`.
+fn remove_empty(value: &mut serde_yaml_ng::Value, parent: &str, paths: &mut Vec<String>) {
+    let Some(fields) = value.as_mapping_mut() else {
+        return;
+    };
+    fields.retain(|key, field| {
+        let key = key.as_str().unwrap_or_default();
+        let path = match parent {
+            "" => key.to_owned(),
+            parent => format!("{parent}.{key}"),
+        };
+        remove_empty(field, &path, paths);
+        let is_empty = field.is_null();
+        if is_empty {
+            paths.push(path);
+        }
+        !is_empty
+    });
+}
+
 /// Reads a settings file.
 pub fn read(path: &path::Path) -> Result<GatewaySettings> {
     let text = load::read_text(path)?;
