Responses without a valid final status are failures of their endpoint

What callers saw: status 101, 600 and 999 of an endpoint reached them as it came, also over another daemon (MIXED). Cause: any status outside 2xx was passed on as the endpoint's failure. Change: statuses outside 200 to 599 end the attempt as unsound, which counts for the endpoint's health; another attempt follows where the kind of request allows it, else 502. Tests: two of unsound_responses.rs failed on.

--- a/crates/daemon/tests/behind_platform/main.rs
+++ b/crates/daemon/tests/behind_platform/main.rs
@@ -18,6 +18,7 @@
 mod store_connections;
 mod store_return;
 mod support;
+mod unsound_responses;
 
 use std::io::Read;
 use std::io::Write;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -376,6 +376,14 @@
             "crossed_answer",
         ));
     }
+    if !is_final(parts.status) {
+        log::warn!(target: "sardinepaddle", request = own_attempt, endpoint:% = plan.primary.endpoint,
+            status = parts.status.as_u16(); "response without a valid final status dropped");
+        return Err(AttemptError {
+            responded: true,
+            ..AttemptError::may_have_run(health::HealthSignal::Failed, "invalid_status")
+        });
+    }
     if marks.not_run {
         let signal = if marks.misdirected {
             health::HealthSignal::Unreachable
@@ -423,6 +431,11 @@
     Err(error)
 }
 
+/// Whether a status may end a request. No client asks for another protocol, so 101 doesn't either.
+fn is_final(status: http::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads a failure response, unless it is too large or breaks off.
 async fn read_failure(
     request: &request::ClientRequest,
@@ -455,7 +468,9 @@
     if !parts.status.is_success() {
         let failure = read_failure(request, parts, body).await;
         // The other daemon doesn't know what this one has sent.
-        let failure = failure.filter(|_| !(may_have_run && marks.implies_not_run));
+        let failure = failure
+            .filter(|failure| is_final(failure.status))
+            .filter(|_| !(may_have_run && marks.implies_not_run));
         let without_body = match marks.implies_not_run {
             true => response::LocalResponse::NotRun {
                 reason: "forwarded_refused",
