One account bounds the bodies that a daemon holds

Cause: each body had a limit, their sum had none. Change: byte_account counts request bodies, responses, failures, replies to memory orders and incomplete events until their last byte is written. The limit follows from 'memory_mb'. A request that doesn't fit is refused at once (memory_full, not run); a response that doesn't fit ends its attempt, without blame for the endpoint. Gauge held_bytes.

--- a/crates/daemon/tests/behind_platform/raw_responses.rs
+++ b/crates/daemon/tests/behind_platform/raw_responses.rs
@@ -118,6 +118,62 @@
     }
 }
 
+// Guards against a daemon that runs out of memory by the sum of long responses, each of which is
+// allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_responses_to_clients_that_read_nothing_fill_no_memory() {
+    let response = RawResponse::Large {
+        length: LARGE_LENGTH,
+    };
+    let (store, _, daemon) = support::deployment(&[]).await;
+    for number in 0..4 {
+        let id = format!("d{number}");
+        let endpoint = RawEndpoint::start(&id, response).await;
+        store.put("servers", &id, endpoint.entry("s"));
+        let listed = format!("\"endpoint\":\"{id}\"");
+        RunningDaemon::wait_for("the endpoint", || daemon.log().contains(&listed));
+    }
+    let mut clients = Vec::new();
+    for number in 0..40 {
+        let mut client = connect_with_small_buffer(daemon.clients);
+        let request = format!(
+            "GET /safe/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer {KEY}\r\n\
+             X-Attempt-Id: r{number}\r\nX-Deadline-Ms: 8000\r\nConnection: close\r\n\r\n"
+        );
+        client.write_all(request.as_bytes()).unwrap();
+        clients.push(client);
+    }
+    // By then all have been answered or refused.
+    std::thread::sleep(Duration::from_millis(9_000));
+    let memory_kb = daemon.process.peak_memory_kb();
+    println!("peak memory: {memory_kb} KB");
+    assert!(memory_kb < MEMORY_LIMIT_KB, "{memory_kb} KB");
+    let mut answered = 0;
+    for mut client in clients {
+        let mut bytes = Vec::new();
+        let read = client.read_to_end(&mut bytes);
+        let is_success = bytes.starts_with(b"HTTP/1.1 200 ");
+        let is_whole = bytes.ends_with(&[b'x'; LARGE_LENGTH]);
+        assert_eq!(is_success, is_whole, "{read:?}, {} bytes", bytes.len());
+        answered += usize::from(is_whole);
+    }
+    assert!(answered > 0);
+    RunningDaemon::wait_for("the release of the bytes", || {
+        let metrics = support::send_request(daemon.metrics, "GET /metrics HTTP/1.1", &[]);
+        let mut lines = metrics.body.lines();
+        lines.any(|line| line.contains("held_bytes") && line.ends_with(" 0"))
+    });
+    assert_eq!(daemon.call("GET /safe/ HTTP/1.1", "last").status, 200);
+}
+
+/// Connects a client whose system receives little before the client reads.
+fn connect_with_small_buffer(address: net::SocketAddr) -> net::TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
+
 // Guards against a request that was given up and is delivered to its endpoint all the same.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_was_given_up_is_not_delivered_later() {
--- a/crates/daemon/tests/behind_platform/settings_template.rs
+++ b/crates/daemon/tests/behind_platform/settings_template.rs
@@ -34,7 +34,7 @@
         "internal_ports": [metrics.port()], "seeds": [], "heartbeat_ms": 1_200,
         "listen": {"frontend": callers, "readiness": readiness, "control": peers},
         "platform": {"address": store.address()},
-        "limits": {"cpu_share": 0.25},
+        "limits": {"cpu_share": 0.25, "memory_mb": 260},
         "bounds": {"grace_s": 8, "retry_budget_ratio": 0.2, "budget_window_s": 10,
             "budget_extra_retries": 106, "cold_overage": 1.5, "cold_slack": 5,
             "config_apply_ms": 2_000, "drain_ms": 2_000, "evacuate_ms": 5_000,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::ids;
@@ -16,6 +15,7 @@
 use pool::job;
 use tokio::time;
 
+use crate::byte_account;
 use crate::forward;
 use crate::reach;
 use crate::request;
@@ -442,16 +442,15 @@
     parts: http::response::Parts,
     body: Incoming,
 ) -> Option<EndpointFailure> {
-    let limited = http_body_util::Limited::new(body, MAX_FAILURE_BODY_BYTES);
+    let kind = byte_account::BodyKind::Response;
+    let bodies = &request.state.bodies;
+    let collecting = bodies.collect(kind, body, MAX_FAILURE_BODY_BYTES);
     let remaining = millis::to_duration(request.remaining_ms());
-    let collected = time::timeout(remaining, limited.collect())
-        .await
-        .ok()?
-        .ok()?;
+    let body = time::timeout(remaining, collecting).await.ok()?.ok()?;
     Some(EndpointFailure {
         status: parts.status,
         headers: parts.headers,
-        body: collected.to_bytes(),
+        body,
     })
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -5,7 +5,6 @@
 use std::net;
 use std::rc;
 
-use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -19,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::byte_account;
 use crate::client_stream;
 use crate::course;
 use crate::forward;
@@ -220,17 +220,24 @@
         return Err(refuse(response::SHUTTING_DOWN));
     }
     let limits = &index.config().limits;
-    if body.size_hint().lower() > limits.body_bytes as u64 {
+    let stated_bytes = body.size_hint().lower();
+    if stated_bytes > limits.body_bytes as u64 {
         return Err(refuse(response::LocalResponse::BodyTooLarge));
     }
-    let limited = http_body_util::Limited::new(body, limits.body_bytes);
-    let body_result = time::timeout(timeout, limited.collect()).await;
-    let body = match body_result {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(refuse(response::LocalResponse::BodyTooLarge));
+    let kind = byte_account::BodyKind::Request;
+    if !state.bodies.has_room(kind, stated_bytes) {
+        return Err(refuse(response::MEMORY_FULL));
+    }
+    let collecting = state.bodies.collect(kind, body, limits.body_bytes);
+    let body = match time::timeout(timeout, collecting).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            return Err(refuse(match error {
+                byte_account::CollectError::TooLong => response::LocalResponse::BodyTooLarge,
+                byte_account::CollectError::AccountFull => response::MEMORY_FULL,
+                byte_account::CollectError::Broken(_) => response::LocalResponse::BodyBroken,
+            }));
         }
-        Ok(Err(_)) => return Err(refuse(response::LocalResponse::BodyBroken)),
         Err(_) => return Err(refuse(response::LocalResponse::BodySlow)),
     };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! All work runs on one thread, as hosts have only a fraction of a core.
 
+pub mod byte_account;
 pub mod compression;
 pub mod followers;
 pub mod message;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     queue_wait: api::Gauge<f64>,
     queue_drain: api::Gauge<f64>,
     log_lines_dropped: api::Gauge<u64>,
+    held_bytes: api::Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -120,6 +121,7 @@
                 .with_description("Endpoint time placed per time, by service")
                 .build(),
             waiting: gauge("waiting_requests", "Requests that wait for a place here"),
+            held_bytes: gauge("held_bytes", "Length of the bodies in memory, bytes"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped so far"),
             registry,
         })
@@ -236,6 +238,11 @@
         self.store_era.record(era, &[]);
     }
 
+    /// Records the length of the bodies in memory, bytes.
+    pub fn held_bytes(&self, bytes: usize) {
+        self.held_bytes.record(bytes as u64, &[]);
+    }
+
     /// Records whether no endpoint can be reached from this host.
     pub fn cut_off(&self, cut_off: bool) {
         self.cut_off.record(u64::from(cut_off), &[]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::attempt;
+use crate::byte_account;
 use crate::client_stream;
 use crate::course;
 use crate::request;
@@ -133,10 +134,13 @@
     endpoint_response: attempt::EndpointResponse,
 ) -> Result<http::Response<response::ResponseBody>, BrokenAttempt> {
     let limit = millis::to_duration(request.remaining_ms());
-    let body = http_body_util::Limited::new(endpoint_response.body, MAX_BODY_BYTES);
     let state = &request.state;
+    let kind = byte_account::BodyKind::Response;
+    let collecting = state
+        .bodies
+        .collect(kind, endpoint_response.body, MAX_BODY_BYTES);
     let collected = tokio::select! {
-        collected = time::timeout(limit, body.collect()) => collected,
+        collected = time::timeout(limit, collecting) => collected,
         () = state.shutdown.wait_for_last_response(&state.clock) => {
             return Err((
                 endpoint_response.attempt,
@@ -146,20 +150,20 @@
         }
     };
     let body_bytes = match collected {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err((
-                endpoint_response.attempt,
-                health::HealthSignal::Failed,
-                "answer_too_large",
-            ));
-        }
-        Ok(Err(_)) => {
-            return Err((
-                endpoint_response.attempt,
-                health::HealthSignal::Failed,
-                "answer_torn",
-            ));
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            let (signal, reason) = match error {
+                byte_account::CollectError::TooLong => {
+                    (health::HealthSignal::Failed, "answer_too_large")
+                }
+                byte_account::CollectError::AccountFull => {
+                    (health::HealthSignal::Inconclusive, "memory_full")
+                }
+                byte_account::CollectError::Broken(_) => {
+                    (health::HealthSignal::Failed, "answer_torn")
+                }
+            };
+            return Err((endpoint_response.attempt, signal, reason));
         }
         Err(_) => {
             return Err((
@@ -184,7 +188,7 @@
     let status = endpoint_response.status;
     let headers = client_headers(&endpoint_response.headers);
     let deadline = client_stream::StreamDeadline(runner.request.deadline);
-    let source = EventSource::new(endpoint_response);
+    let source = EventSource::new(&runner.request, endpoint_response);
     let body = StreamBody::new(relay_events(runner, source, recorder));
     let mut response = http::Response::new(Box::pin(body) as response::ResponseBody);
     *response.status_mut() = status;
@@ -217,13 +221,17 @@
     attempt: attempt::ActiveAttempt,
     body: Incoming,
     splitter: sse::EventSplitter,
+    /// The bytes in `splitter`.
+    held: byte_account::ByteShare,
     /// Whether only the end of the connection ends the response.
     is_undelimited: bool,
 }
 
 impl EventSource {
-    fn new(response: attempt::EndpointResponse) -> Self {
+    fn new(request: &request::ClientRequest, response: attempt::EndpointResponse) -> Self {
+        let kind = byte_account::BodyKind::Response;
         Self {
+            held: request.state.bodies.share(kind),
             is_undelimited: upstream::is_undelimited(&response.headers),
             attempt: response.attempt,
             body: response.body,
@@ -242,7 +250,7 @@
         let mut first_event_recorded = false;
         let mut current = Some(source);
         while let Some(source) = current.take() {
-            let EventSource { attempt, mut body, mut splitter, is_undelimited } = source;
+            let EventSource { attempt, mut body, mut splitter, mut held, is_undelimited } = source;
             let mut received_event = false;
             // Bytes that complete no event don't count as progress.
             let mut progress_at = request.state.now();
@@ -270,6 +278,9 @@
                 if request.remaining_ms() <= 0.0 {
                     break (health::HealthSignal::TimedOut, "deadline_passed");
                 }
+                if held.resize(splitter.len()).is_err() {
+                    break (health::HealthSignal::Inconclusive, "memory_full");
+                }
                 if splitter.len() > MAX_EVENT_BYTES {
                     break (health::HealthSignal::Failed, "event_too_large");
                 }
@@ -301,7 +312,7 @@
             let mut stalled_attempt = None;
             match signal {
                 health::HealthSignal::TimedOut => {
-                    stalled_attempt = Some(EventSource { attempt, body, splitter, is_undelimited });
+                    stalled_attempt = Some(EventSource { attempt, body, splitter, held, is_undelimited });
                 }
                 signal => attempt.fail(signal),
             }
@@ -314,7 +325,7 @@
                     if let Some(source) = stalled_attempt.take() {
                         source.attempt.fail(signal);
                     }
-                    current = Some(EventSource::new(endpoint_response));
+                    current = Some(EventSource::new(&request, endpoint_response));
                 }
                 Err(_) if stalled_attempt.is_some() => {
                     log::info!(target: "sardinepaddle", request = request.hints.attempt_id;
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use model::ids;
 use model::millis;
@@ -18,6 +17,7 @@
 use tokio::task;
 use tokio::time;
 
+use crate::byte_account;
 use crate::state;
 use crate::upstream;
 
@@ -221,8 +221,9 @@
         let notice = headers::parse_notice(status, response.headers());
         state.record_notice(&target.endpoint, target.started_ms, notice, None);
         let keep_alive = upstream::keep_alive_timeout(response.headers());
-        let body = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
-        let body_result = body.collect().await;
+        let kind = byte_account::BodyKind::Response;
+        let body = response.into_body();
+        let body_result = state.bodies.collect(kind, body, MAX_REPLY_BYTES).await;
         if body_result.is_ok() {
             upstreams.put_back(connection, keep_alive);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::byte_account;
 use crate::clock;
 use crate::followers;
 use crate::forward;
@@ -85,6 +86,8 @@
     pub incarnation: u64,
     pub metrics: metrics::GatewayMetrics,
     log: logs::LogGuard,
+    /// Bodies of requests and responses in memory.
+    pub bodies: byte_account::ByteAccount,
     cache: cell::RefCell<store_cache::StoreCache>,
     placer: cell::RefCell<placer::JobPlacer>,
     pub rank: cell::RefCell<rank::DaemonRank>,
@@ -177,6 +180,7 @@
         placer.set_hedge_limits(hedge_limits(&settings));
         Self {
             entry: own_entry(&settings),
+            bodies: byte_account::ByteAccount::new(settings.memory_mb),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             clock: clock::MonotonicClock::start(),
             incarnation: rand::random(),
@@ -224,6 +228,7 @@
         self.placer.borrow_mut().set_hedge_limits(limits);
         let bounds = outage_bounds(&settings);
         self.store_outages.borrow_mut().set_bounds(bounds);
+        self.bodies.set_memory(settings.memory_mb);
         *self.settings.borrow_mut() = rc::Rc::new(settings);
     }
 
@@ -739,6 +744,7 @@
         self.metrics.store_era(self.store_era());
         self.metrics.quarantines(self.quarantines.borrow().len());
         self.metrics.cut_off(self.reach.is_cut_off());
+        self.metrics.held_bytes(self.bodies.held());
         for (service, share) in self.placer.borrow().hedges().extra_shares() {
             self.metrics.hedge_extra_share(service.as_str(), share);
         }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -39,6 +39,9 @@
     /// CPU cores that the daemon may use; may be a fraction.
     #[serde(default = "default_share")]
     pub cpu_share: f64,
+    /// Memory that the daemon may use, in MB.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: GatewayBounds,
@@ -57,6 +60,10 @@
     1.0
 }
 
+fn default_memory() -> f64 {
+    260.0
+}
+
 fn default_level() -> String {
     "info".to_owned()
 }
@@ -192,6 +199,7 @@
     let bounds = &settings.bounds;
     let checks = [
         ("cpu_share", "above 0", settings.cpu_share > 0.0),
+        ("memory_mb", "above 0", settings.memory_mb > 0.0),
         ("bounds.grace_s", "0 or more", bounds.grace_s >= 0.0),
         ("bounds.retry_ratio", "0 or more", bounds.retry_ratio >= 0.0),
         ("bounds.retry_extra", "0 or more", bounds.retry_extra >= 0.0),
