Own interface: responses of plain services need a valid final status

Related path of the fault behind the platform: status 101, 600 and 999 of a plain service were passed on and recorded.

--- a/crates/engine/src/plain.rs
+++ b/crates/engine/src/plain.rs
@@ -10,6 +10,8 @@
 
 /// Largest response body read from a plain service, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Statuses that may end a request. No client asks for another protocol, so 101 doesn't either.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
 /// Largest response body recorded with a claim, in bytes.
 const MAX_RECORDED_BYTES: usize = 2_048;
 
@@ -99,6 +101,9 @@
 
 async fn read_response(response: http::Response<hyper::body::Incoming>) -> PlainResult {
     let (parts, body) = response.into_parts();
+    if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+        return PlainResult::without_response(outcome::AttemptOutcome::Broken);
+    }
     let body = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
         .await;
