Own interface: responses of the object API are read up to a limit

Related path of the store behind the platform: a response without end was read until the call's timeout, at any speed.

--- a/crates/objects/src/client.rs
+++ b/crates/objects/src/client.rs
@@ -12,6 +12,8 @@
 use crate::traffic;
 use crate::wire;
 
+/// Maximum length of a response, bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Timeout of a call, without the wait of a watch.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection is closed.
@@ -25,6 +27,9 @@
     /// No response arrived; the call may or may not have taken effect.
     #[error("no response from the platform")]
     NoResponse,
+    /// The response is longer than any that the platform or a daemon may send.
+    #[error("response longer than {MAX_RESPONSE_BYTES} bytes")]
+    TooLong,
     /// The status, or a header that must come with it, is not valid for the call.
     #[error("unexpected response from the platform with status {0}")]
     Status(u16),
@@ -280,12 +285,7 @@
             let status = response.status();
             let head_bytes = traffic::header_bytes(response.headers());
             let etag = response.headers().get(http::header::ETAG).cloned();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|_| PlatformError::NoResponse)?
-                .to_bytes();
+            let body = read_body(response).await?;
             self.traffic
                 .add_received(call.kind, head_bytes + body.len());
             Ok(RawResponse { status, etag, body })
@@ -296,6 +296,20 @@
     }
 }
 
+/// Reads the body of a response of limited length.
+pub(crate) async fn read_body(
+    response: http::Response<hyper::body::Incoming>,
+) -> Result<bytes::Bytes> {
+    let body = http_body_util::Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+    let body = body.collect().await.map_err(|error| {
+        match error.is::<http_body_util::LengthLimitError>() {
+            true => PlatformError::TooLong,
+            false => PlatformError::NoResponse,
+        }
+    })?;
+    Ok(body.to_bytes())
+}
+
 fn parse_object(response: RawResponse) -> Result<StoredObject> {
     let version =
         parse_version(&response).ok_or(PlatformError::Status(response.status.as_u16()))?;
--- a/crates/objects/src/daemons.rs
+++ b/crates/objects/src/daemons.rs
@@ -3,7 +3,6 @@
 use std::net;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use model::config;
@@ -102,10 +101,7 @@
             if !response.status().is_success() {
                 return Err(client::PlatformError::Status(response.status().as_u16()));
             }
-            let body = response.into_body().collect().await;
-            Ok(body
-                .map_err(|_| client::PlatformError::NoResponse)?
-                .to_bytes())
+            client::read_body(response).await
         };
         tokio::time::timeout(RESPONSE_TIMEOUT, exchange)
             .await
