Long responses take turns while much is held

Change: above two fifths of the account, responses of more than 64 KB are read one after the other, each within 1 s; the others wait in their connections.

--- a/crates/gateway/src/byte_account.rs
+++ b/crates/gateway/src/byte_account.rs
@@ -3,10 +3,13 @@
 
 use std::sync;
 use std::sync::atomic;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use hyper::body::Frame;
+use tokio::time;
 
 /// Memory that the process needs beside bodies, MB.
 const OTHER_MEMORY_MB: f64 = 48.0;
@@ -15,6 +18,13 @@
 const BODY_SHARE: f64 = 0.4;
 /// Share of the account that responses may fill, so that requests still find room.
 const RESPONSE_SHARE: f64 = 0.75;
+/// Share of the account above which responses are read one after the other. The longest one still fits,
+/// so that each can be completed, whereas many parts might fill the account and none go on.
+const PARALLEL_SHARE: f64 = 0.4;
+/// Length up to which a response doesn't wait behind longer ones.
+const SHORT_BYTES: usize = 64 << 10;
+/// Time in which such a response must be complete once it is its turn.
+const TURN_TIME: Duration = Duration::from_millis(1_000);
 const MIN_LIMIT_BYTES: usize = 4 << 20;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
@@ -44,14 +54,16 @@
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, CollectError>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct AccountState {
     limit: atomic::AtomicUsize,
     held: atomic::AtomicUsize,
+    /// The right to read a response while much is held.
+    turn: sync::Arc<tokio::sync::Semaphore>,
 }
 
 /// The sum of the bytes held.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ByteAccount(sync::Arc<AccountState>);
 
 impl ByteAccount {
@@ -68,7 +80,11 @@
     /// assert_eq!(account.held(), 0);
     /// ```
     pub fn new(memory_mb: f64) -> Self {
-        let account = Self::default();
+        let account = Self(sync::Arc::new(AccountState {
+            limit: atomic::AtomicUsize::default(),
+            held: atomic::AtomicUsize::default(),
+            turn: sync::Arc::new(tokio::sync::Semaphore::new(1)),
+        }));
         account.set_memory(memory_mb);
         account
     }
@@ -108,6 +124,21 @@
         }
     }
 
+    /// Whether responses are read one after the other.
+    fn is_crowded(&self) -> bool {
+        let limit = self.0.limit.load(atomic::Ordering::Relaxed);
+        self.held() as f64 > limit as f64 * PARALLEL_SHARE
+    }
+
+    /// Waits for the right to read a response while much is held.
+    async fn wait_for_turn(&self) -> Result<ReadTurn> {
+        let turn = self.0.turn.clone().acquire_owned().await;
+        Ok(ReadTurn {
+            _permit: turn.map_err(|_| CollectError::AccountFull)?,
+            ends_at: time::Instant::now() + TURN_TIME,
+        })
+    }
+
     /// Reads a body of at most `max_bytes`, which are held until the result is dropped.
     pub async fn collect<B>(&self, kind: BodyKind, body: B, max_bytes: usize) -> Result<Bytes>
     where
@@ -119,13 +150,17 @@
             share: self.share(kind),
         };
         let mut body = std::pin::pin!(body);
-        while let Some(frame) = body.as_mut().frame().await {
-            let frame = frame.map_err(|error| CollectError::Broken(error.into()))?;
+        let mut turn = None;
+        while let Some(frame) = next_frame(&mut body, turn.as_ref()).await? {
             let data = frame.into_data().unwrap_or_default();
             let length = buffer.bytes.len() + data.len();
             if length > max_bytes {
                 return Err(CollectError::TooLong);
             }
+            let needs_turn = kind == BodyKind::Response && length > SHORT_BYTES;
+            if turn.is_none() && needs_turn && self.is_crowded() {
+                turn = Some(self.wait_for_turn().await?);
+            }
             buffer.share.resize(length)?;
             buffer.bytes.extend_from_slice(&data);
         }
@@ -133,6 +168,28 @@
     }
 }
 
+/// The right to read a response while much is held.
+struct ReadTurn {
+    _permit: tokio::sync::OwnedSemaphorePermit,
+    ends_at: time::Instant,
+}
+
+/// Reads the next frame of a body, before the end of its turn if it has one.
+async fn next_frame<B>(body: &mut B, turn: Option<&ReadTurn>) -> Result<Option<Frame<Bytes>>>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let frame = match turn {
+        Some(turn) => time::timeout_at(turn.ends_at, body.frame())
+            .await
+            .map_err(|_| CollectError::AccountFull)?,
+        None => body.frame().await,
+    };
+    let frame = frame.transpose();
+    frame.map_err(|error| CollectError::Broken(error.into()))
+}
+
 /// Bytes of an account, given back on drop.
 #[derive(Debug)]
 pub struct ByteShare {
