Review: after the loss of both watching machines the others are late to see a runner leave

Cause: daemons that get their data from the placer keep idle connections to the store without a keep-alive. One that has gone silent costs 1.5 s when it is needed, on top of the time after which data counts as stale.

--- a/review/rig-3/src/store.rs
+++ b/review/rig-3/src/store.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,9 +31,24 @@
     pub address: SocketAddr,
     closed: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Whether each connection has gone silent.
+    silent: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
+    calls: Arc<AtomicU64>,
 }
 
 impl StoreListener {
+    /// Makes its open connections go silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        for silent in self.silent.lock().expect("no holder panics").drain(..) {
+            silent.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Returns the number of calls that came here.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::SeqCst)
+    }
+
     /// Stops serving at this address and closes its connections.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
@@ -112,9 +127,12 @@
             address: listener.local_addr().expect("a bound address"),
             closed: Arc::default(),
             streams: Arc::default(),
+            silent: Arc::default(),
+            calls: Arc::default(),
         };
         let (store, closed) = (self.clone(), served.closed.clone());
         let streams = served.streams.clone();
+        let (all_silent, calls) = (served.silent.clone(), served.calls.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if closed.load(Ordering::SeqCst) {
@@ -123,8 +141,12 @@
                 if let Ok(copy) = stream.try_clone() {
                     streams.lock().expect("no holder panics").push(copy);
                 }
-                let store = store.clone();
-                thread::spawn(move || store.serve(stream));
+                let silent = Arc::new(AtomicBool::new(false));
+                let mut all_silent = all_silent.lock().expect("no holder panics");
+                all_silent.push(silent.clone());
+                drop(all_silent);
+                let (store, calls) = (store.clone(), calls.clone());
+                thread::spawn(move || store.serve(stream, &silent, &calls));
             }
         });
         served
@@ -171,14 +193,18 @@
         names.map(|(_, name)| name.clone()).collect()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, silent: &AtomicBool, calls: &AtomicU64) {
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else {
             return;
         };
         let mut reader = http::Reader::new(copy);
         while let Ok(Some(request)) = reader.next() {
+            calls.fetch_add(1, Ordering::SeqCst);
             let reply = self.answer(&request);
+            if silent.load(Ordering::SeqCst) {
+                continue;
+            }
             if stream.write_all(reply.as_bytes()).is_err() {
                 return;
             }
