Review: while packets wait on the placer's link, others are late to see a runner leave

Cause: a follower takes the age of its data from the placer's heartbeats and adds 5 ms, however long these were under way. While what the placer sends waits on a narrow link, the others take old data for fresh and don't read the store.

--- a/review/rig-3/src/daemon.rs
+++ b/review/rig-3/src/daemon.rs
@@ -22,6 +22,10 @@
 pub struct Daemon {
     pub host: String,
     zone: String,
+    /// Share of a core.
+    pub cpu_share: f64,
+    /// `drain_ms`, `config_apply_ms` and `contact_ms` of the deployment.
+    pub bounds_ms: (u32, u32, u32),
     settings: PathBuf,
     pub clients: SocketAddr,
     pub readiness: SocketAddr,
@@ -36,6 +40,8 @@
         Self {
             host: host.to_owned(),
             zone: zone.to_owned(),
+            cpu_share: 0.25,
+            bounds_ms: (2_000, 2_000, 3_000),
             settings: folder.join(format!("{host}.yaml")),
             clients: http::free_address(),
             readiness: http::free_address(),
@@ -48,19 +54,21 @@
     /// Writes its settings file, as platform/settings.yaml.tmpl renders it.
     pub fn write_settings(&self, store: SocketAddr, seeds: &[SocketAddr], grace_s: u32) {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let (drain_ms, config_ms, contact_ms) = self.bounds_ms;
         let text = format!(
             "host: \"{}\"\ndata_centre: \"{}\"\nlisten:\n  callers: \"{}\"\n  readiness: \"{}\"\n  \
-             peers: \"{}\"\n  metrics: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\ncpu_share: 0.25\n\
+             peers: \"{}\"\n  metrics: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\ncpu_share: {}\n\
              memory_mb: 260\nbounds:\n  grace_s: {grace_s}\n  retry_ratio: 0.2\n  retry_window_s: 10\n  \
-             retry_extra: 106\n  cold_factor: 1.5\n  cold_extra: 5\n  config_ms: 2000\n  \
-             endpoints_ms: 2000\n  emptied_ms: 5000\n\n  heartbeat_ms: 1200\n\n\n  contact_ms: 3000\n\n",
+             retry_extra: 106\n  cold_factor: 1.5\n  cold_extra: 5\n  config_ms: {config_ms}\n  \
+             endpoints_ms: {drain_ms}\n  emptied_ms: 5000\n\n  heartbeat_ms: 1200\n\n\n  contact_ms: {contact_ms}\n\n",
             self.host,
             self.zone,
             self.clients,
             self.readiness,
             self.peers,
             self.metrics,
-            seeds.join(",")
+            seeds.join(","),
+            self.cpu_share,
         );
         // The platform replaces the file as a whole.
         let new = self.settings.with_extension("new");
--- a/review/rig-3/src/http.rs
+++ b/review/rig-3/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// A request or response.
@@ -179,11 +180,18 @@
     }
 }
 
-/// Returns an address on the loopback interface whose port is free now.
+/// Returns an address on the loopback interface whose port is free now. It lies below the ports that the
+/// system gives to connections, so that none of these takes it meanwhile.
 pub fn free_address() -> SocketAddr {
-    let listener =
-        TcpListener::bind("127.0.0.1:0").expect("the loopback interface has a free port");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let call = CALLS.fetch_add(1, Ordering::SeqCst);
+        let number = (std::process::id() * 61 + call) % 20_000;
+        let port = u16::try_from(12_000 + number).expect("ports below 32,000");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener
+                .local_addr()
+                .expect("a bound socket has an address");
+        }
+    }
 }
--- a/review/rig-3/src/lib.rs
+++ b/review/rig-3/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod daemon;
 pub mod http;
+pub mod link;
 pub mod record;
 pub mod runner;
 pub mod store;
--- a/review/rig-3/src/store.rs
+++ b/review/rig-3/src/store.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// Addresses of daemons and those of the links that lead to them, which stand in their entries.
+    links: Arc<Mutex<Vec<(SocketAddr, SocketAddr)>>>,
 }
 
 /// An address at which the store is served.
@@ -120,6 +122,21 @@
 }
 
 impl Store {
+    /// Makes others reach a daemon's address over a link, as its entry then names that one.
+    pub fn lead_over(&self, address: SocketAddr, link: SocketAddr) {
+        let mut links = self.links.lock().expect("no holder panics");
+        links.push((address, link));
+    }
+
+    fn with_links(&self, spec: &str) -> String {
+        let links = self.links.lock().expect("no holder panics");
+        let mut spec = spec.to_owned();
+        for (address, link) in links.iter() {
+            spec = spec.replace(&format!("\"{address}\""), &format!("\"{link}\""));
+        }
+        spec
+    }
+
     /// Serves the store at a free address.
     pub fn listen(&self) -> StoreListener {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -229,12 +246,14 @@
                 if self.names(kind).iter().any(|other| other == name) {
                     (409, "{}".to_owned())
                 } else {
-                    self.write(kind, name, Some(raw_field(&body, "spec").unwrap_or("null")));
+                    let spec = self.with_links(raw_field(&body, "spec").unwrap_or("null"));
+                    self.write(kind, name, Some(&spec));
                     (200, "{}".to_owned())
                 }
             }
             ("PUT", name) => {
-                self.write(kind, name, Some(raw_field(&body, "spec").unwrap_or("null")));
+                let spec = self.with_links(raw_field(&body, "spec").unwrap_or("null"));
+                self.write(kind, name, Some(&spec));
                 (200, "{}".to_owned())
             }
             _ => (404, "{}".to_owned()),
